--- /dev/null
+++ b/bins/ggs-ctl.rs
@@ -0,0 +1,7 @@
+//! Entry point of `ggs-ctl`.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    ggs_ctl::run(std::env::args_os())
+}
--- /dev/null
+++ b/crates/budget/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measuring budget: grants debited before they are spent, and the bill.
--- /dev/null
+++ b/crates/follow/src/lib.rs
@@ -0,0 +1,1 @@
+//! Monotonic spread of accepted service documents.
--- /dev/null
+++ b/crates/limit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Retry allowances and admission limits per partner and class.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Live gates, leaving servers and entry answers.
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,24 @@
+//! Names, times, classes, verdicts and service documents shared by all parts.
+//!
+//! Every other crate speaks in these types, so they carry no I/O and depend on no runtime. Decisions
+//! take a [`Moment`] as an argument; only adapters read a clock.
+
+mod class;
+mod clock;
+mod document;
+mod headers;
+mod identity;
+mod names;
+mod server;
+mod verdict;
+
+pub use class::RequestClass;
+pub use clock::{BootClock, Clock, ManualClock, Moment, WallTime};
+pub use document::{
+    ClassLimits, DocumentRevision, MeasuringBudget, RequestRule, ServiceDocument, VersionedDocument,
+};
+pub use headers::HeaderNames;
+pub use identity::{GateId, Incarnation, ServerId};
+pub use names::{DataCentre, HostName, PartnerName, ServiceName};
+pub use server::{LoadReport, ParseReportError, ServerEntry, ServerState};
+pub use verdict::RunVerdict;
--- /dev/null
+++ b/crates/observe/src/log.rs
@@ -0,0 +1,59 @@
+//! The log that events go to.
+
+use slog::{Drain, Logger, debug, error, info, o, warn};
+
+use crate::{LogEvent, LogLevel};
+
+/// Where and how log lines are written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One JSON object a line on standard error.
+    Json,
+    /// Nothing is written.
+    Off,
+}
+
+/// A log of numbered events.
+///
+/// ```
+/// use ggs_observe::{EventLog, LogEvent, LogFormat};
+///
+/// let log = EventLog::new(LogFormat::Off, "entry-1");
+/// log.emit(LogEvent::GateStarted, "gate listens", slog::o!("callers" => "127.0.0.1:8080"));
+/// ```
+#[derive(Clone, Debug)]
+pub struct EventLog {
+    logger: Logger,
+}
+
+impl EventLog {
+    /// A log whose lines carry the name of `host`.
+    pub fn new(format: LogFormat, host: &str) -> Self {
+        let host = host.to_owned();
+        let logger = match format {
+            LogFormat::Json => {
+                let drain = slog_json::Json::default(std::io::stderr()).fuse();
+                let drain = slog_async::Async::new(drain).build().fuse();
+                Logger::root(drain, o!("host" => host))
+            }
+            LogFormat::Off => Logger::root(slog::Discard, o!("host" => host)),
+        };
+        Self { logger }
+    }
+
+    /// Writes one event with its number and the given pairs.
+    pub fn emit<T>(&self, event: LogEvent, message: &str, pairs: slog::OwnedKV<T>)
+    where
+        T: slog::SendSyncRefUnwindSafeKV + 'static,
+    {
+        let logger = self.logger.new(pairs);
+        let number = event.number();
+        let name = event.name();
+        match event.level() {
+            LogLevel::Error => error!(logger, "{}", message; "event" => number, "name" => name),
+            LogLevel::Warning => warn!(logger, "{}", message; "event" => number, "name" => name),
+            LogLevel::Info => info!(logger, "{}", message; "event" => number, "name" => name),
+            LogLevel::Debug => debug!(logger, "{}", message; "event" => number, "name" => name),
+        }
+    }
+}
--- /dev/null
+++ b/crates/once/src/admission.rs
@@ -0,0 +1,62 @@
+//! What a keyed request may do, and what is kept of its answer.
+
+use bytes::Bytes;
+use ggs_model::{GateId, RunVerdict};
+
+/// Digest of service, method, path and body; tells a repeat from a key used for something else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct RequestFingerprint(pub u64);
+
+/// Right to run a keyed request once; not cloneable.
+#[derive(Debug, PartialEq, Eq)]
+pub struct RunTicket {
+    /// Position of the key among those of this gate's run.
+    pub(crate) number: u64,
+}
+
+/// A whole answer kept for repeats of its key.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeptAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header names and values.
+    pub headers: Vec<(String, Bytes)>,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// What a keyed request may do.
+#[derive(Debug, PartialEq, Eq)]
+pub enum KeyAdmission {
+    /// Run it; end the ticket with an outcome.
+    Run(RunTicket),
+    /// The same request is running; ask again soon or wait for its end.
+    Running,
+    /// The request ran; this is its answer.
+    Replay(KeptAnswer),
+    /// The request ran, or may have; no answer is kept.
+    Settled(RunVerdict),
+    /// The key was used for another request.
+    Conflict,
+    /// Only this other gate may run it.
+    Elsewhere(GateId),
+    /// The key's life has ended; nothing more runs under it.
+    Expired,
+    /// This gate never issued the key.
+    NotIssued,
+    /// No memory is left for another key; the request did not run.
+    Full,
+}
+
+/// How a keyed run ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum KeyOutcome {
+    /// It did not run; the key may be used again.
+    NotRun,
+    /// It ran with this answer.
+    Answered(KeptAnswer),
+    /// It ran, and its answer is not kept.
+    AnsweredUnkept,
+    /// It may have run.
+    Unknown,
+}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between gates and the framed connections that carry them.
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,1 @@
+//! The request path: attempts on server connections, deadlines and whole answers.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,13 @@
+//! Ports to the platform's table, object store and host list, with HTTP adapters.
+//!
+//! A failed call says whether its write may have taken effect: [`StoreError::Unanswered`] after a
+//! write means "unknown", and callers resolve it by reading back.
+
+mod error;
+mod ports;
+
+pub use error::StoreError;
+pub use ports::{
+    HostList, ObjectStore, RowCheck, RowPut, RowVersion, TableRow, TableStore, TableWrite,
+    WriteOutcome,
+};
