--- /dev/null
+++ b/crates/pick/src/attempts.rs
@@ -0,0 +1,83 @@
+//! Start moments of open attempts at one server.
+
+use std::time::Duration;
+
+use ggs_model::Moment;
+
+/// Attempts whose start is kept for each server; the oldest matter most.
+const TRACKED_ATTEMPTS: usize = 8;
+
+/// Share of an attempt's elapsed time by which its end may miss its start and still match.
+const MATCH_TOLERANCE: u32 = 4;
+
+/// Least difference that still matches an end to a start.
+const MATCH_FLOOR: Duration = Duration::from_millis(1);
+
+/// One open attempt.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct OpenAttempt {
+    /// When it started.
+    pub(crate) started: Moment,
+    /// Answer time expected at its start, in mean service times.
+    pub(crate) expected: f64,
+}
+
+/// Open attempts at one server, held in place so that a choice allocates nothing.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct OpenAttempts {
+    tracked: [OpenAttempt; TRACKED_ATTEMPTS],
+    count: usize,
+}
+
+impl OpenAttempts {
+    /// Takes in an attempt; beyond the tracked ones it is left out.
+    pub(crate) fn start(&mut self, attempt: OpenAttempt) {
+        if self.count < TRACKED_ATTEMPTS {
+            self.tracked[self.count] = attempt;
+            self.count += 1;
+        }
+    }
+
+    /// Takes out the attempt that started `elapsed` before `now`.
+    ///
+    /// `others` is the number of attempts that stay open. When no start matches, for example because
+    /// the body of an answer took long, the oldest goes, so that no start outlives its attempt for long.
+    pub(crate) fn end(
+        &mut self,
+        elapsed: Duration,
+        now: Moment,
+        others: usize,
+    ) -> Option<OpenAttempt> {
+        let tolerance = (elapsed / MATCH_TOLERANCE).max(MATCH_FLOOR);
+        let open = &self.tracked[..self.count];
+        let nearest = (0..self.count).min_by_key(|&index| distance(&open[index], elapsed, now));
+        let matched = nearest.filter(|&index| distance(&open[index], elapsed, now) <= tolerance);
+        let index = match matched {
+            Some(index) => index,
+            None if others >= self.count => return None,
+            None => self.oldest_index()?,
+        };
+        let attempt = self.tracked[index];
+        self.count -= 1;
+        self.tracked[index] = self.tracked[self.count];
+        matched.map(|_| attempt)
+    }
+
+    /// The attempt that has been open longest.
+    pub(crate) fn oldest(&self) -> Option<&OpenAttempt> {
+        self.tracked[..self.count]
+            .iter()
+            .min_by_key(|attempt| attempt.started)
+    }
+
+    /// Position of the attempt that has been open longest.
+    fn oldest_index(&self) -> Option<usize> {
+        (0..self.count).min_by_key(|&index| self.tracked[index].started)
+    }
+}
+
+/// How far an attempt's start misses the start told by its end.
+fn distance(attempt: &OpenAttempt, elapsed: Duration, now: Moment) -> Duration {
+    let open = now.since(attempt.started);
+    open.abs_diff(elapsed)
+}
--- a/crates/pick/src/chooser.rs
+++ b/crates/pick/src/chooser.rs
@@ -35,6 +35,13 @@
     pub deadline: Moment,
 }
 
+impl ChoiceRequest<'_> {
+    /// Whether an earlier attempt went to the position `index`.
+    pub(crate) fn has_tried(&self, index: usize) -> bool {
+        self.tried.iter().any(|slot| slot.index as usize == index)
+    }
+}
+
 /// Why no server was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ChoiceRefusal {
@@ -96,6 +103,9 @@
     fn finish(&mut self, end: &AttemptEnd, now: Moment);
 
     /// Takes a load report from an answer or a paid probe.
+    ///
+    /// The report of an answer comes before the `finish` of its attempt, and counts the request that
+    /// it answers.
     fn report(&mut self, slot: ServerSlot, report: LoadReport, now: Moment);
 
     /// Takes the in-flight counts that another gate sent for the same service.
--- a/crates/pick/src/least.rs
+++ b/crates/pick/src/least.rs
@@ -2,25 +2,13 @@
 
 use ggs_model::{LoadReport, Moment, ServerId};
 
+use crate::table::ServerTable;
 use crate::{AttemptEnd, ChoiceRefusal, ChoiceRequest, ServerChooser, ServerSeed, ServerSlot};
 
-/// One known server.
-#[derive(Clone, Copy, Debug)]
-struct LeastServer {
-    /// The run of the server.
-    server: ServerId,
-    /// Servers that held this position before.
-    generation: u32,
-    /// Attempts that have not ended.
-    in_flight: u32,
-    /// Whether it may be chosen.
-    open: bool,
-}
-
 /// Chooses the server with the fewest attempts of this gate, in turn among equals.
 #[derive(Clone, Debug, Default)]
 pub struct LeastInFlight {
-    servers: Vec<LeastServer>,
+    servers: ServerTable<()>,
     turn: usize,
 }
 
@@ -29,55 +17,11 @@
     pub fn new() -> Self {
         Self::default()
     }
-
-    /// The server in `slot`, unless the slot has been reused.
-    fn entry(&mut self, slot: ServerSlot) -> Option<&mut LeastServer> {
-        let entry = self.servers.get_mut(slot.index as usize)?;
-        (entry.generation == slot.generation).then_some(entry)
-    }
-
-    /// Takes in a server that is not known.
-    fn insert(&mut self, server: ServerId) {
-        let free = self
-            .servers
-            .iter_mut()
-            .find(|entry| !entry.open && entry.in_flight == 0);
-        match free {
-            Some(entry) => {
-                let generation = entry.generation + 1;
-                *entry = LeastServer {
-                    server,
-                    generation,
-                    in_flight: 0,
-                    open: true,
-                };
-            }
-            None => {
-                self.servers.push(LeastServer {
-                    server,
-                    generation: 0,
-                    in_flight: 0,
-                    open: true,
-                });
-            }
-        }
-    }
 }
 
 impl ServerChooser for LeastInFlight {
     fn replace_servers(&mut self, seeds: &[ServerSeed], _now: Moment) {
-        for entry in &mut self.servers {
-            entry.open = seeds.iter().any(|seed| seed.server == entry.server);
-        }
-        for seed in seeds {
-            if !self
-                .servers
-                .iter()
-                .any(|entry| entry.open && entry.server == seed.server)
-            {
-                self.insert(seed.server);
-            }
-        }
+        self.servers.replace(seeds, |_, _| ());
     }
 
     fn choose(
@@ -85,33 +29,20 @@
         request: &ChoiceRequest<'_>,
         _now: Moment,
     ) -> Result<ServerSlot, ChoiceRefusal> {
-        let count = self.servers.len();
         self.turn = self.turn.wrapping_add(1);
         let turn = self.turn;
-        let slots = (0..count).map(|step| (turn + step) % count);
-        let chosen = slots
-            .filter(|&index| self.servers[index].open)
-            .min_by_key(|&index| {
-                let entry = &self.servers[index];
-                let tried = request
-                    .tried
-                    .iter()
-                    .any(|slot| slot.index as usize == index);
-                (tried, entry.in_flight)
-            })
+        let entries = self.servers.entries();
+        let count = entries.len();
+        let chosen = (0..count)
+            .map(|step| (turn + step) % count)
+            .filter(|&index| entries[index].open)
+            .min_by_key(|&index| (request.has_tried(index), entries[index].in_flight))
             .ok_or(ChoiceRefusal::NoServer)?;
-        let entry = &mut self.servers[chosen];
-        entry.in_flight += 1;
-        Ok(ServerSlot {
-            index: chosen as u32,
-            generation: entry.generation,
-        })
+        Ok(self.servers.start(chosen))
     }
 
     fn finish(&mut self, end: &AttemptEnd, _now: Moment) {
-        if let Some(entry) = self.entry(end.slot) {
-            entry.in_flight = entry.in_flight.saturating_sub(1);
-        }
+        self.servers.end(end.slot);
     }
 
     fn report(&mut self, _slot: ServerSlot, _report: LoadReport, _now: Moment) {}
@@ -119,24 +50,15 @@
     fn peer_counts(&mut self, _gate: u64, _counts: &[(ServerId, u32)], _now: Moment) {}
 
     fn own_counts(&self, counts: &mut Vec<(ServerId, u32)>) {
-        let open = self.servers.iter().filter(|entry| entry.open);
-        counts.extend(open.map(|entry| (entry.server, entry.in_flight)));
+        self.servers.counts(counts);
     }
 
     fn server(&self, slot: ServerSlot) -> Option<ServerId> {
-        let entry = self.servers.get(slot.index as usize)?;
-        (entry.generation == slot.generation).then_some(entry.server)
+        self.servers.get(slot).map(|entry| entry.server)
     }
 
     fn slot_of(&self, server: ServerId) -> Option<ServerSlot> {
-        let index = self
-            .servers
-            .iter()
-            .position(|entry| entry.open && entry.server == server)?;
-        Some(ServerSlot {
-            index: index as u32,
-            generation: self.servers[index].generation,
-        })
+        self.servers.open_slot(server)
     }
 
     fn probe_candidate(&self, _now: Moment) -> Option<ServerSlot> {
--- /dev/null
+++ b/crates/pick/src/table.rs
@@ -0,0 +1,168 @@
+//! Table of servers with slots that are never reused while an attempt on them is open.
+
+use std::collections::HashMap;
+
+use foldhash::fast::FixedState;
+use ggs_model::ServerId;
+
+use crate::{ServerSeed, ServerSlot};
+
+/// One known server and what a policy keeps of it.
+#[derive(Clone, Debug)]
+pub(crate) struct TableEntry<T> {
+    /// The run of the server.
+    pub(crate) server: ServerId,
+    /// Servers that held this position before.
+    pub(crate) generation: u32,
+    /// Attempts that have not ended.
+    pub(crate) in_flight: u32,
+    /// Whether it may be chosen.
+    pub(crate) open: bool,
+    /// What the policy keeps.
+    pub(crate) value: T,
+}
+
+impl<T> TableEntry<T> {
+    /// Whether another run may take the position.
+    fn is_free(&self) -> bool {
+        !self.open && self.in_flight == 0
+    }
+}
+
+/// Servers by slot.
+#[derive(Clone, Debug)]
+pub(crate) struct ServerTable<T> {
+    entries: Vec<TableEntry<T>>,
+    indexes: HashMap<ServerId, u32, FixedState>,
+    open_count: usize,
+}
+
+impl<T> Default for ServerTable<T> {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+            indexes: HashMap::with_hasher(FixedState::default()),
+            open_count: 0,
+        }
+    }
+}
+
+impl<T> ServerTable<T> {
+    /// Replaces the servers that may be chosen; `make` yields the value of a run that is new or was
+    /// absent, given what was kept of it.
+    pub(crate) fn replace(
+        &mut self,
+        seeds: &[ServerSeed],
+        mut make: impl FnMut(&ServerSeed, Option<&T>) -> T,
+    ) {
+        let was_open: Vec<bool> = self.entries.iter().map(|entry| entry.open).collect();
+        for entry in &mut self.entries {
+            entry.open = false;
+        }
+        // Known runs open first, so that a new run cannot take the position of one that stays.
+        for seed in seeds {
+            let Some(&index) = self.indexes.get(&seed.server) else {
+                continue;
+            };
+            let entry = &mut self.entries[index as usize];
+            if !was_open[index as usize] && !entry.open {
+                entry.value = make(seed, Some(&entry.value));
+            }
+            entry.open = true;
+        }
+        for seed in seeds {
+            if !self.indexes.contains_key(&seed.server) {
+                let value = make(seed, None);
+                self.insert(seed.server, value);
+            }
+        }
+        self.open_count = self.entries.iter().filter(|entry| entry.open).count();
+    }
+
+    /// Takes in a run that is not known.
+    fn insert(&mut self, server: ServerId, value: T) {
+        let free = self.entries.iter().position(TableEntry::is_free);
+        let index = free.unwrap_or(self.entries.len());
+        let mut entry = TableEntry {
+            server,
+            generation: 0,
+            in_flight: 0,
+            open: true,
+            value,
+        };
+        match self.entries.get_mut(index) {
+            Some(old) => {
+                self.indexes.remove(&old.server);
+                entry.generation = old.generation.wrapping_add(1);
+                *old = entry;
+            }
+            None => self.entries.push(entry),
+        }
+        self.indexes.insert(server, index as u32);
+    }
+
+    /// All positions, also those whose server may not be chosen.
+    pub(crate) fn entries(&self) -> &[TableEntry<T>] {
+        &self.entries
+    }
+
+    /// All positions, to change.
+    pub(crate) fn entries_mut(&mut self) -> &mut [TableEntry<T>] {
+        &mut self.entries
+    }
+
+    /// Number of servers that may be chosen.
+    pub(crate) const fn open_count(&self) -> usize {
+        self.open_count
+    }
+
+    /// The server in `slot`, unless the position went to another run.
+    pub(crate) fn get(&self, slot: ServerSlot) -> Option<&TableEntry<T>> {
+        let entry = self.entries.get(slot.index as usize)?;
+        (entry.generation == slot.generation).then_some(entry)
+    }
+
+    /// The server in `slot`, to change.
+    pub(crate) fn get_mut(&mut self, slot: ServerSlot) -> Option<&mut TableEntry<T>> {
+        let entry = self.entries.get_mut(slot.index as usize)?;
+        (entry.generation == slot.generation).then_some(entry)
+    }
+
+    /// The slot at a position.
+    pub(crate) fn slot_at(&self, index: usize) -> ServerSlot {
+        ServerSlot {
+            index: index as u32,
+            generation: self.entries[index].generation,
+        }
+    }
+
+    /// The position of a known run, whether or not it may be chosen.
+    pub(crate) fn index_of(&self, server: ServerId) -> Option<usize> {
+        self.indexes.get(&server).map(|&index| index as usize)
+    }
+
+    /// The slot of a server that may be chosen.
+    pub(crate) fn open_slot(&self, server: ServerId) -> Option<ServerSlot> {
+        let index = self.index_of(server)?;
+        self.entries[index].open.then(|| self.slot_at(index))
+    }
+
+    /// Counts an attempt as started at a position.
+    pub(crate) fn start(&mut self, index: usize) -> ServerSlot {
+        self.entries[index].in_flight += 1;
+        self.slot_at(index)
+    }
+
+    /// Counts an attempt as ended; yields the entry unless the slot is stale.
+    pub(crate) fn end(&mut self, slot: ServerSlot) -> Option<&mut TableEntry<T>> {
+        let entry = self.get_mut(slot)?;
+        entry.in_flight = entry.in_flight.saturating_sub(1);
+        Some(entry)
+    }
+
+    /// Adds the in-flight count of each server that may be chosen.
+    pub(crate) fn counts(&self, counts: &mut Vec<(ServerId, u32)>) {
+        let open = self.entries.iter().filter(|entry| entry.open);
+        counts.extend(open.map(|entry| (entry.server, entry.in_flight)));
+    }
+}
