--- a/crates/pick/src/attempts.rs
+++ b/crates/pick/src/attempts.rs
@@ -5,7 +5,7 @@
 use ggs_model::Moment;
 
 /// Attempts whose start is kept for each server; the oldest matter most.
-const TRACKED_ATTEMPTS: usize = 8;
+const TRACKED_ATTEMPTS: usize = 16;
 
 /// Share of an attempt's elapsed time by which its end may miss its start and still match.
 const MATCH_TOLERANCE: u32 = 4;
@@ -13,6 +13,9 @@
 /// Least difference that still matches an end to a start.
 const MATCH_FLOOR: Duration = Duration::from_millis(1);
 
+/// Age from which an attempt has surely reached its server and shows in a fresh report.
+const SETTLED_AGE: Duration = Duration::from_millis(5);
+
 /// One open attempt.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct OpenAttempt {
@@ -70,6 +73,13 @@
             .min_by_key(|attempt| attempt.started)
     }
 
+    /// Number of attempts that reached the server a while ago.
+    pub(crate) fn settled(&self, now: Moment) -> u32 {
+        let open = self.tracked[..self.count].iter();
+        let settled = open.filter(|attempt| now.since(attempt.started) >= SETTLED_AGE);
+        settled.count() as u32
+    }
+
     /// Position of the attempt that has been open longest.
     fn oldest_index(&self) -> Option<usize> {
         (0..self.count).min_by_key(|&index| self.tracked[index].started)
--- a/crates/pick/src/signal.rs
+++ b/crates/pick/src/signal.rs
@@ -14,7 +14,7 @@
 /// Reports that the trust in one server remembers.
 const SERVER_TRUST_MEMORY: u32 = 64;
 
-/// Own variance, times samples, by which a server's trust is drawn towards that of its service.
+/// Reports of the service by which the trust in one server is drawn towards that in all.
 const SERVER_TRUST_PRIOR: f64 = 8.0;
 
 /// Part of a new sample in a server's slowness.
@@ -24,13 +24,21 @@
 const SLOWNESS_LIMIT: f64 = 20.0;
 
 /// Slowness that is within the usual spread of answer times.
-const SLOWNESS_SPREAD: f64 = 1.5;
+const SLOWNESS_SPREAD: f64 = 3.0;
+
+/// Power of the slowness in the expected answer time; below 1 because slowness often ends before a
+/// queue does, so that a slow server still takes part of a long backlog.
+const SLOWNESS_POWER: f64 = 0.7;
 
 /// Times its expected answer time that an attempt may stay open before it makes a server look slow.
 const PATIENCE: f64 = 2.5;
 
+/// Times that a reported queue takes to drain which are added to the age at which the report has half
+/// its weight.
+const DRAIN_TIMES: f64 = 2.0;
+
 /// Share that a server gets at the start of its ramp.
-const RAMP_START: f64 = 0.05;
+const RAMP_START: f64 = 0.5;
 
 /// Part of a mean service time that each attempt at a server with free slots adds.
 const CROWDING: f64 = 0.1;
@@ -44,8 +52,8 @@
     pub(crate) usual_others: f64,
     /// Mean service time in seconds.
     pub(crate) service_time: f64,
-    /// Slope of reported load over own counts, over all servers.
-    pub(crate) report_slope: f64,
+    /// Share of contradicted reports over all servers.
+    pub(crate) contradicted_share: f64,
     /// When the counts of other gates came.
     pub(crate) peers_at: Moment,
     /// Age in seconds at which a report has half its weight.
@@ -91,7 +99,7 @@
             near: seed.near,
             exports: 0,
             attempts: OpenAttempts::default(),
-            reported_others: None,
+            reported_others: ramp_from.map(|at| AgedFigure { value: 0.0, at }),
             peer_others: None,
             ramp_from,
             health: ServerHealth::default(),
@@ -109,14 +117,18 @@
         self
     }
 
-    /// Takes in a load report while this gate has `own` attempts at the server.
-    pub(crate) fn report(&mut self, own: f64, report: LoadReport, now: Moment) {
-        let reported = f64::from(report.in_flight) + f64::from(report.queued);
-        self.trust.add(own, reported, SERVER_TRUST_MEMORY);
+    /// Takes in a load report while this gate has `own` attempts at the server; yields the attempts of
+    /// other gates by the report.
+    pub(crate) fn report(&mut self, own: u32, report: LoadReport, now: Moment) -> f64 {
+        let reported = report.in_flight.saturating_add(report.queued);
+        let settled = self.attempts.settled(now);
+        self.trust.add(settled, reported, SERVER_TRUST_MEMORY);
+        let others = f64::from(reported.saturating_sub(own));
         self.reported_others = Some(AgedFigure {
-            value: (reported - own).max(0.0),
+            value: others,
             at: now,
         });
+        others
     }
 
     /// Takes in how much slower than expected an answer was.
@@ -130,7 +142,7 @@
     }
 
     /// Slowness, drawn back to 1 with its age.
-    fn slowness_now(&self, view: &ServiceView) -> f64 {
+    pub(crate) fn slowness_now(&self, view: &ServiceView) -> f64 {
         let weight = self.slowness.weight(view.now, view.latency_half_age);
         1.0 + (self.slowness.value - 1.0) * weight
     }
@@ -140,8 +152,13 @@
         let mut sum = USUAL_WEIGHT * view.usual_others;
         let mut weights = USUAL_WEIGHT;
         if let Some(report) = &self.reported_others {
-            let trust = trust_at(self.trust.slope(view.report_slope, SERVER_TRUST_PRIOR));
-            let weight = trust * report.weight(view.now, view.report_half_age);
+            let share = self
+                .trust
+                .contradicted_share(view.contradicted_share, SERVER_TRUST_PRIOR);
+            let trust = trust_at(share.max(view.contradicted_share));
+            let drain_time = view.service_time * report.value / self.slots;
+            let half_age = view.report_half_age + DRAIN_TIMES * drain_time;
+            let weight = trust * report.weight(view.now, half_age);
             sum += weight * report.value;
             weights += weight;
         }
@@ -167,11 +184,11 @@
     pub(crate) fn slowness(&self, view: &ServiceView) -> f64 {
         let seen = (self.slowness_now(view) / SLOWNESS_SPREAD).max(1.0);
         let Some(oldest) = self.attempts.oldest() else {
-            return seen;
+            return seen.powf(SLOWNESS_POWER);
         };
         let open = seconds(view.now.since(oldest.started));
         let owed = open / (view.service_time * oldest.expected * PATIENCE);
-        seen.max(owed)
+        seen.max(owed).powf(SLOWNESS_POWER)
     }
 
     /// Share of its full load that the server gets, from 0 to 1.
--- a/crates/pick/src/signal_chooser.rs
+++ b/crates/pick/src/signal_chooser.rs
@@ -32,16 +32,20 @@
 const SERVICE_TIME_NEEDED: u32 = 64;
 
 /// Largest ratio by which one answer moves the mean service time.
-const SERVICE_TIME_CLIP: f64 = 4.0;
+const SERVICE_TIME_CLIP: f64 = 2.0;
+
+/// Expected answer time, in mean service times, up to which an answer tells the mean service time; a
+/// longer one tells more of the queue.
+const SHORT_QUEUE: f64 = 2.0;
 
 /// Reports that the usual load of a server remembers.
 const USUAL_MEMORY: u32 = 512;
 
 /// Reports that the trust over all servers remembers.
-const SERVICE_TRUST_MEMORY: u32 = 512;
+const SERVICE_TRUST_MEMORY: u32 = 4_096;
 
-/// Own variance, times samples, by which the trust over all servers is drawn towards full trust.
-const SERVICE_TRUST_PRIOR: f64 = 4.0;
+/// Uncontradicted reports with which the trust over all servers starts.
+const SERVICE_TRUST_PRIOR: f64 = 64.0;
 
 /// Slowness that a failed attempt counts as.
 const FAILURE_SLOWNESS: f64 = 10.0;
@@ -122,7 +126,10 @@
             now,
             usual_others: self.means.others.value(),
             service_time,
-            report_slope: self.means.trust.slope(1.0, SERVICE_TRUST_PRIOR),
+            contradicted_share: self
+                .means
+                .trust
+                .contradicted_share(0.0, SERVICE_TRUST_PRIOR),
             peers_at: self.peers.mean_moment(),
             report_half_age: seconds(self.options.report_half_age),
             peer_half_age: seconds(self.options.peer_half_age),
@@ -209,29 +216,33 @@
         };
         let others = entry.in_flight.saturating_sub(entry.value.exports) as usize;
         let attempt = entry.value.attempts.end(end.elapsed, now, others);
-        let expected = attempt.map_or(1.0, |attempt| attempt.expected);
         let elapsed = seconds(end.elapsed);
-        match end.outcome {
-            AttemptOutcome::Answered => {
-                entry
-                    .value
-                    .observe(elapsed / (view.service_time * expected), &view);
-                let clip = if mean.samples() < SERVICE_TIME_NEEDED {
-                    f64::MAX
-                } else {
-                    view.service_time * SERVICE_TIME_CLIP
-                };
-                let sample = (elapsed / expected).min(clip);
-                self.means.service_times[end.class as usize].add(sample, SERVICE_TIME_MEMORY);
-            }
-            AttemptOutcome::Failed => {
+        let expected = attempt.map(|attempt| attempt.expected);
+        match (end.outcome, expected) {
+            (AttemptOutcome::Answered, Some(expected)) => {
+                let slowness = entry.value.slowness_now(&view);
                 let ratio = elapsed / (view.service_time * expected);
-                entry.value.observe(ratio.max(FAILURE_SLOWNESS), &view);
+                entry.value.observe(ratio, &view);
+                if expected <= SHORT_QUEUE || mean.samples() < SERVICE_TIME_NEEDED {
+                    self.learn_service_time(end.class, elapsed / (expected * slowness));
+                }
             }
-            AttemptOutcome::PathLost | AttemptOutcome::Abandoned => {}
+            (AttemptOutcome::Failed, _) => entry.value.observe(FAILURE_SLOWNESS, &view),
+            _ => {}
         }
     }
 
+    /// Takes a service time in seconds into the mean of its class.
+    fn learn_service_time(&mut self, class: RequestClass, sample: f64) {
+        let mean = &mut self.means.service_times[class as usize];
+        let clip = if mean.samples() < SERVICE_TIME_NEEDED {
+            f64::MAX
+        } else {
+            mean.value() * SERVICE_TIME_CLIP
+        };
+        mean.add(sample.min(clip), SERVICE_TIME_MEMORY);
+    }
+
     /// Takes the outcome of an attempt into the server's health.
     fn judge(&mut self, end: &AttemptEnd, now: Moment) {
         let Some(entry) = self.servers.get_mut(end.slot) else {
@@ -330,13 +341,13 @@
         let Some(entry) = self.servers.get_mut(slot) else {
             return;
         };
-        let own = f64::from(entry.in_flight);
-        entry.value.report(own, report, now);
-        let reported = f64::from(report.in_flight) + f64::from(report.queued);
-        self.means.trust.add(own, reported, SERVICE_TRUST_MEMORY);
+        let settled = entry.value.attempts.settled(now);
+        let others = entry.value.report(entry.in_flight, report, now);
+        let reported = report.in_flight.saturating_add(report.queued);
         self.means
-            .others
-            .add((reported - own).max(0.0), USUAL_MEMORY);
+            .trust
+            .add(settled, reported, SERVICE_TRUST_MEMORY);
+        self.means.others.add(others, USUAL_MEMORY);
     }
 
     fn peer_counts(&mut self, gate: u64, counts: &[(ServerId, u32)], now: Moment) {
