Choose the gates of a service by bounded rendezvous hashing

Cause: callers ask which gates to use; how much of a service a gate sees decides how well it chooses. Change: EntryPlan ranks hosts for each service, bounds the services on a gate to 1.25 times the mean, spreads a service over the data centres, names near gates first and turns among them; gates that vanish together stay at the end of answers for 15 s. Ruled out: ranking by incarnation (a restarted gate would move its callers).

--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod builder;
 mod chooser;
+mod entry_plan;
 mod figure;
 mod health;
 mod least;
@@ -20,5 +21,6 @@
 pub use chooser::{
     AttemptEnd, AttemptOutcome, ChoiceRefusal, ChoiceRequest, ServerChooser, ServerSeed, ServerSlot,
 };
+pub use entry_plan::{EntryGate, EntryPlan};
 pub use least::LeastInFlight;
 pub use signal_chooser::SignalChooser;
