--- a/crates/pick/src/health.rs
+++ b/crates/pick/src/health.rs
@@ -76,6 +76,11 @@
         self.doublings = (self.doublings + 1).min(MAX_DOUBLINGS);
     }
 
+    /// Takes the server back before its ejection ends.
+    pub(crate) const fn take_back(&mut self, now: Moment) {
+        self.ejected_until = Some(now);
+    }
+
     /// Whether the server is ejected.
     pub(crate) fn is_ejected(&self, now: Moment) -> bool {
         self.ejected_until.is_some_and(|until| now < until)
@@ -125,9 +130,18 @@
         self.open > 1 && self.troubled * 2 > self.open
     }
 
+    /// Servers that may be ejected under a cap of `eject_percent`.
+    const fn cap(&self, eject_percent: u32) -> usize {
+        self.open * eject_percent as usize / 100
+    }
+
     /// Whether one more server may be ejected under a cap of `eject_percent`.
     pub(crate) const fn may_eject(&self, eject_percent: u32) -> bool {
-        let cap = self.open * eject_percent as usize / 100;
-        self.ejected < cap && !self.is_suspect()
+        self.ejected < self.cap(eject_percent) && !self.is_suspect()
+    }
+
+    /// Servers ejected beyond a cap of `eject_percent`.
+    pub(crate) const fn excess(&self, eject_percent: u32) -> usize {
+        self.ejected.saturating_sub(self.cap(eject_percent))
     }
 }
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -7,6 +7,7 @@
 mod attempts;
 mod builder;
 mod chooser;
+mod connection_share;
 mod entry_plan;
 mod figure;
 mod health;
@@ -21,6 +22,7 @@
 pub use chooser::{
     AttemptEnd, AttemptOutcome, ChoiceRefusal, ChoiceRequest, ServerChooser, ServerSeed, ServerSlot,
 };
+pub use connection_share::ConnectionShare;
 pub use entry_plan::{EntryGate, EntryPlan};
 pub use least::LeastInFlight;
 pub use signal_chooser::SignalChooser;
--- a/crates/pick/src/signal_chooser.rs
+++ b/crates/pick/src/signal_chooser.rs
@@ -114,6 +114,18 @@
         HealthCensus::take(open.map(|entry| &entry.value.health), now)
     }
 
+    /// Takes back ejected servers beyond the cap, which a shorter list makes smaller.
+    fn take_back_excess(&mut self, now: Moment) {
+        let excess = self.census(now).excess(self.options.eject_percent);
+        let ejected = |entry: &&mut TableEntry<ServerSignals>| {
+            entry.open && entry.value.health.is_ejected(now)
+        };
+        let entries = self.servers.entries_mut().iter_mut();
+        for entry in entries.filter(ejected).take(excess) {
+            entry.value.health.take_back(now);
+        }
+    }
+
     /// What holds for all servers at `now` for requests of `class`.
     fn view(&self, class: RequestClass, now: Moment) -> ServiceView {
         let mean = &self.means.service_times[class as usize];
@@ -298,6 +310,7 @@
             Some(signals) => signals.returned(ramp_from),
             None => ServerSignals::new(seed, ramp_from),
         });
+        self.take_back_excess(now);
     }
 
     fn choose(
--- /dev/null
+++ b/crates/pick/tests/accounting.rs
@@ -0,0 +1,177 @@
+//! Choosers against a naive recount under any order of events.
+
+use std::collections::HashMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use ggs_model::{Incarnation, LoadReport, Moment, RequestClass, ServerId};
+use ggs_pick::{
+    AttemptEnd, AttemptOutcome, ChoiceRequest, LeastInFlight, ServerChooser, ServerSeed,
+    ServerSlot, SignalChooser,
+};
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const EJECT_PERCENT: u32 = 30;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Choose(RequestClass),
+    Finish(usize, AttemptOutcome),
+    Replace(Vec<u16>),
+    Report(usize, u32),
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let class = prop_oneof![
+        Just(RequestClass::Urgent),
+        Just(RequestClass::Standard),
+        Just(RequestClass::Export)
+    ];
+    let outcome = prop_oneof![
+        Just(AttemptOutcome::Answered),
+        Just(AttemptOutcome::Failed),
+        Just(AttemptOutcome::PathLost),
+        Just(AttemptOutcome::Abandoned)
+    ];
+    prop_oneof![
+        6 => class.prop_map(Step::Choose),
+        5 => (any::<usize>(), outcome).prop_map(|(which, outcome)| Step::Finish(which, outcome)),
+        1 => vec(0..12_u16, 0..8).prop_map(Step::Replace),
+        1 => (any::<usize>(), 0..20_u32).prop_map(|(which, load)| Step::Report(which, load)),
+        2 => (0..2_000_u64).prop_map(Step::Wait),
+    ]
+}
+
+fn server(number: u16) -> ServerId {
+    ServerId {
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, number)),
+        incarnation: Incarnation(u64::from(number)),
+    }
+}
+
+/// An open attempt as the naive recount keeps it.
+#[derive(Clone, Copy, Debug)]
+struct Open {
+    slot: ServerSlot,
+    server: ServerId,
+    class: RequestClass,
+    started: Moment,
+}
+
+/// Runs steps; after each, compares the chooser with the recount.
+fn check(chooser: &mut impl ServerChooser, steps: &[Step]) {
+    let mut now = Moment::from_millis(1);
+    let mut open: Vec<Open> = Vec::new();
+    let mut listed: Vec<u16> = Vec::new();
+    for step in steps {
+        match step {
+            Step::Choose(class) => {
+                let request = ChoiceRequest {
+                    class: *class,
+                    tried: &[],
+                    deadline: now + Duration::from_mins(1),
+                };
+                if let Ok(slot) = chooser.choose(&request, now) {
+                    let server = chooser.server(slot).expect("a chosen slot is known");
+                    assert!(
+                        listed.contains(&server.address.port()),
+                        "chosen off the list"
+                    );
+                    open.push(Open {
+                        slot,
+                        server,
+                        class: *class,
+                        started: now,
+                    });
+                }
+            }
+            Step::Finish(which, outcome) if !open.is_empty() => {
+                let attempt = open.swap_remove(which % open.len());
+                let end = AttemptEnd {
+                    slot: attempt.slot,
+                    class: attempt.class,
+                    outcome: *outcome,
+                    elapsed: now.since(attempt.started),
+                };
+                chooser.finish(&end, now);
+            }
+            Step::Replace(numbers) => {
+                listed.clone_from(numbers);
+                let seed = |number: &u16| ServerSeed {
+                    server: server(*number),
+                    slots: 3,
+                    near: number.is_multiple_of(2),
+                };
+                let seeds: Vec<ServerSeed> = numbers.iter().map(seed).collect();
+                chooser.replace_servers(&seeds, now);
+            }
+            Step::Report(which, load) if !open.is_empty() => {
+                let report = LoadReport {
+                    in_flight: *load,
+                    queued: 0,
+                    slots: 3,
+                };
+                chooser.report(open[which % open.len()].slot, report, now);
+            }
+            Step::Wait(millis) => now = now + Duration::from_millis(*millis),
+            Step::Finish(..) | Step::Report(..) => {}
+        }
+        recount(chooser, &open, &listed);
+    }
+}
+
+/// Compares the chooser's counts and slots with the open attempts.
+fn recount(chooser: &impl ServerChooser, open: &[Open], listed: &[u16]) {
+    let mut counts = Vec::new();
+    chooser.own_counts(&mut counts);
+    let counts: HashMap<ServerId, u32> = counts.into_iter().collect();
+    for number in listed {
+        let id = server(*number);
+        let naive = open.iter().filter(|attempt| attempt.server == id).count();
+        assert_eq!(counts.get(&id), Some(&(naive as u32)), "count of {id}");
+    }
+    for attempt in open {
+        assert_eq!(
+            chooser.server(attempt.slot),
+            Some(attempt.server),
+            "slot was reused"
+        );
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(256))]
+
+    #[test]
+    fn counts_equal_a_recount(steps in vec(step(), 1..200)) {
+        check(&mut SignalChooser::builder().build(), &steps);
+        check(&mut LeastInFlight::new(), &steps);
+    }
+
+    #[test]
+    fn no_more_servers_are_ejected_than_the_cap(
+        size in 1..40_u16,
+        failures in vec((any::<bool>(), 0..300_u64), 1..300),
+    ) {
+        let mut chooser = SignalChooser::builder().eject_percent(EJECT_PERCENT).build();
+        let mut now = Moment::from_millis(1);
+        let seed = |number| ServerSeed { server: server(number), slots: 3, near: true };
+        chooser.replace_servers(&(0..size).map(seed).collect::<Vec<_>>(), now);
+        for (fails, millis) in failures {
+            let request = ChoiceRequest {
+                class: RequestClass::Urgent,
+                tried: &[],
+                deadline: now + Duration::from_mins(1),
+            };
+            let Ok(slot) = chooser.choose(&request, now) else { continue };
+            now = now + Duration::from_millis(millis);
+            let bad = fails && slot.index % 3 != 0;
+            let outcome = if bad { AttemptOutcome::Failed } else { AttemptOutcome::Answered };
+            let elapsed = Duration::from_millis(millis);
+            chooser.finish(&AttemptEnd { slot, class: RequestClass::Urgent, outcome, elapsed }, now);
+            prop_assert!(chooser.ejected(now) <= usize::from(size) * EJECT_PERCENT as usize / 100);
+        }
+    }
+}
--- a/crates/pick/tests/chooser.rs
+++ b/crates/pick/tests/chooser.rs
@@ -245,6 +245,34 @@
     }
 }
 
+#[test]
+fn the_cap_on_ejections_holds_when_the_list_shrinks() {
+    let mut chooser = SignalChooser::builder().eject_percent(30).build();
+    let mut now = Moment::from_millis(1);
+    chooser.replace_servers(&seeds(0..10), now);
+    let urgent = request(RequestClass::Urgent);
+    let open: Vec<_> = (0..100)
+        .map(|_| chooser.choose(&urgent, now).unwrap())
+        .collect();
+    now = now + Duration::from_millis(1);
+    for slot in open {
+        let fails = chooser.server(slot).unwrap().address.port() < 3;
+        let outcome = if fails {
+            AttemptOutcome::Failed
+        } else {
+            AttemptOutcome::Answered
+        };
+        chooser.finish(&end(slot, outcome, 1), now);
+    }
+    assert!(chooser.ejected(now) > 1, "{} ejected", chooser.ejected(now));
+    chooser.replace_servers(&seeds(0..4), now);
+    assert!(
+        chooser.ejected(now) <= 1,
+        "{} of 4 ejected",
+        chooser.ejected(now)
+    );
+}
+
 #[test]
 fn a_lost_path_does_not_make_the_server_look_slow() {
     let mut chooser = SignalChooser::builder().build();
