Add the relay: attempts on server connections with verdicts

Cause: nothing carries a request yet. Ruled out: awc for the path to servers; its pool hides whether a connection was reused and whether bytes left, and both decide the verdict. actix-http's client codec is used directly. Change: connections with one request in flight, a pool with a share for each server, bodies that are whole or aborted, a pure decision on what follows a failure, and a loop generic over its transport.

--- a/crates/model/src/headers.rs
+++ b/crates/model/src/headers.rs
@@ -13,6 +13,9 @@
     pub const KEY: &str = "ggs-key";
     /// Caller to gate, gate to server: retries already made by outer hops for this call.
     pub const ATTEMPT: &str = "ggs-attempt";
+    /// Gate to server and back: number of the attempt; a server that repeats it in its answer proves
+    /// which request the answer belongs to, and only its connections are used again.
+    pub const REQUEST_ID: &str = "ggs-request-id";
     /// Gate to gate: the host that passes a keyed request to the gate that issued its key.
     pub const PASSED_BY: &str = "ggs-passed-by";
     /// Gate to caller: what is known of the request's effect (`not-run`, `ran`, `unknown`).
--- a/crates/pick/src/chooser.rs
+++ b/crates/pick/src/chooser.rs
@@ -75,7 +75,7 @@
 
 /// A policy that chooses servers for one service at one gate.
 ///
-/// `choose` counts the attempt as started; each started attempt is ended once with `finish`.
+/// `choose` and `start_on` count the attempt as started; each started attempt is ended once with `finish`.
 pub trait ServerChooser {
     /// Replaces the servers that may be chosen. Servers that stay keep their slots and what is known
     /// of them; those that are absent get no new attempts but still have theirs ended.
@@ -92,7 +92,12 @@
         now: Moment,
     ) -> Result<ServerSlot, ChoiceRefusal>;
 
-    /// Ends an attempt that `choose` started.
+    /// Counts an attempt as started on a given server, for a new connection after a lost one.
+    ///
+    /// Returns false, and counts nothing, when the server may not be chosen.
+    fn start_on(&mut self, slot: ServerSlot, class: RequestClass, now: Moment) -> bool;
+
+    /// Ends an attempt that `choose` or `start_on` started.
     fn finish(&mut self, end: &AttemptEnd, now: Moment);
 
     /// Takes a load report from an answer or a paid probe.
--- a/crates/pick/src/least.rs
+++ b/crates/pick/src/least.rs
@@ -1,6 +1,6 @@
 //! Least own in-flight: the naive policy that others are compared with.
 
-use ggs_model::{LoadReport, Moment, ServerId};
+use ggs_model::{LoadReport, Moment, RequestClass, ServerId};
 
 use crate::{AttemptEnd, ChoiceRefusal, ChoiceRequest, ServerChooser, ServerSeed, ServerSlot};
 
@@ -108,6 +108,14 @@
         })
     }
 
+    fn start_on(&mut self, slot: ServerSlot, _class: RequestClass, _now: Moment) -> bool {
+        let Some(entry) = self.entry(slot).filter(|entry| entry.open) else {
+            return false;
+        };
+        entry.in_flight += 1;
+        true
+    }
+
     fn finish(&mut self, end: &AttemptEnd, _now: Moment) {
         if let Some(entry) = self.entry(end.slot) {
             entry.in_flight = entry.in_flight.saturating_sub(1);
--- /dev/null
+++ b/crates/relay/src/body.rs
@@ -0,0 +1,149 @@
+//! The body of an answer, as it comes from the server.
+
+use std::fmt;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use actix_http::body::{BodySize, MessageBody};
+use actix_http::h1::ClientPayloadCodec;
+use bytes::Bytes;
+use futures_util::Stream;
+use ggs_model::{BootClock, Clock, Moment};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, Sleep};
+use tokio_util::codec::Framed;
+
+use crate::pool::ConnectionPlace;
+use crate::{FailureKind, ServerConnection};
+
+/// Why a body ended before it was whole.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BodyError {
+    /// What went wrong.
+    pub kind: FailureKind,
+}
+
+impl fmt::Display for BodyError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "answer body is not whole: {}", self.kind)
+    }
+}
+
+impl std::error::Error for BodyError {}
+
+/// A server connection in the middle of an answer's body.
+///
+/// The connection goes back to its pool only when the body has ended as announced and nothing
+/// follows it; dropped earlier, it is closed.
+pub struct RelayBody {
+    source: Option<BodySource>,
+    size: BodySize,
+    timer: Pin<Box<Sleep>>,
+    progress: Option<Duration>,
+}
+
+/// The connection that a body is read from.
+struct BodySource {
+    framed: Framed<TcpStream, ClientPayloadCodec>,
+    place: ConnectionPlace,
+    reusable: bool,
+}
+
+impl fmt::Debug for RelayBody {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("RelayBody")
+            .field("size", &self.size)
+            .finish_non_exhaustive()
+    }
+}
+
+impl RelayBody {
+    /// A body that must end by `limit` from now, or, with `progress`, must go on within that time.
+    pub(crate) fn new(
+        connection: ServerConnection,
+        place: ConnectionPlace,
+        reusable: bool,
+        size: BodySize,
+        limit: Duration,
+        progress: Option<Duration>,
+    ) -> Self {
+        let framed = connection
+            .framed
+            .map_codec(actix_http::h1::ClientCodec::into_payload_codec);
+        let timer = Box::pin(tokio::time::sleep(progress.unwrap_or(limit)));
+        Self {
+            source: Some(BodySource {
+                framed,
+                place,
+                reusable,
+            }),
+            size,
+            timer,
+            progress,
+        }
+    }
+
+    /// Gives the connection back after the whole body, if it may be used again.
+    fn complete(&mut self) {
+        let Some(source) = self.source.take() else {
+            return;
+        };
+        if !source.reusable || !source.framed.read_buffer().is_empty() {
+            return;
+        }
+        let framed = source
+            .framed
+            .map_codec(ClientPayloadCodec::into_message_codec);
+        let now: Moment = BootClock.now();
+        source.place.keep(
+            ServerConnection {
+                framed,
+                idle_since: None,
+            },
+            now,
+        );
+    }
+
+    /// Ends the body early and closes its connection.
+    fn fail(&mut self, kind: FailureKind) -> Poll<Option<Result<Bytes, BodyError>>> {
+        self.source = None;
+        Poll::Ready(Some(Err(BodyError { kind })))
+    }
+}
+
+impl MessageBody for RelayBody {
+    type Error = BodyError;
+
+    fn size(&self) -> BodySize {
+        self.size
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, BodyError>>> {
+        let this = &mut *self;
+        let Some(source) = this.source.as_mut() else {
+            return Poll::Ready(None);
+        };
+        match Pin::new(&mut source.framed).poll_next(context) {
+            Poll::Ready(Some(Ok(Some(chunk)))) => {
+                if let Some(progress) = this.progress {
+                    this.timer.as_mut().reset(Instant::now() + progress);
+                }
+                Poll::Ready(Some(Ok(chunk)))
+            }
+            Poll::Ready(Some(Ok(None))) => {
+                this.complete();
+                Poll::Ready(None)
+            }
+            Poll::Ready(Some(Err(_)) | None) => this.fail(FailureKind::ConnectionLost),
+            Poll::Pending => match this.timer.as_mut().poll(context) {
+                Poll::Ready(()) => this.fail(FailureKind::AnswerTimeout),
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/pool.rs
@@ -0,0 +1,134 @@
+//! Idle connections to servers, and the count of all connections held to each.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use foldhash::{HashMap, HashMapExt};
+use ggs_model::Moment;
+
+use crate::{ConnectionOptions, ServerConnection};
+
+/// Connections to one address.
+#[derive(Debug, Default)]
+struct AddressEntry {
+    /// Connections between two requests, the latest used last.
+    idle: Vec<ServerConnection>,
+    /// Connections in use.
+    busy: usize,
+}
+
+/// State shared by the pool and the connections out of it.
+#[derive(Debug)]
+struct PoolState {
+    options: ConnectionOptions,
+    entries: RefCell<HashMap<SocketAddr, AddressEntry>>,
+}
+
+/// Connections to servers by address; clones share their connections.
+#[derive(Clone, Debug)]
+pub struct ConnectionPool {
+    state: Rc<PoolState>,
+}
+
+impl ConnectionPool {
+    /// A pool without connections.
+    pub fn new(options: ConnectionOptions) -> Self {
+        let entries = RefCell::new(HashMap::new());
+        Self {
+            state: Rc::new(PoolState { options, entries }),
+        }
+    }
+
+    /// Limits of the pool's connections.
+    pub fn options(&self) -> &ConnectionOptions {
+        &self.state.options
+    }
+
+    /// Reserves a place for a connection, `None` when the share is in use.
+    ///
+    /// An idle connection that is still quiet comes with it unless `fresh` is set; an idle one is
+    /// closed where a fresh one would exceed the share.
+    pub(crate) fn reserve(
+        &self,
+        address: SocketAddr,
+        fresh: bool,
+        now: Moment,
+    ) -> Option<(ConnectionPlace, Option<ServerConnection>)> {
+        let mut entries = self.state.entries.borrow_mut();
+        let entry = entries.entry(address).or_default();
+        let idle_limit = self.state.options.idle_limit;
+        entry.idle.retain(|connection| {
+            let since = connection.idle_since.unwrap_or(now);
+            now.since(since) <= idle_limit
+        });
+        let mut found = None;
+        while !fresh && found.is_none() {
+            let Some(connection) = entry.idle.pop() else {
+                break;
+            };
+            found = Some(connection).filter(ServerConnection::is_quiet);
+        }
+        if found.is_none() && entry.busy + entry.idle.len() >= self.state.options.share {
+            // The oldest idle connection makes room.
+            if entry.idle.is_empty() {
+                return None;
+            }
+            entry.idle.remove(0);
+        }
+        entry.busy += 1;
+        let place = ConnectionPlace {
+            pool: self.clone(),
+            address,
+        };
+        Some((place, found))
+    }
+
+    /// Connections held to `address`, idle ones included.
+    pub fn held(&self, address: SocketAddr) -> usize {
+        let entries = self.state.entries.borrow();
+        entries
+            .get(&address)
+            .map_or(0, |entry| entry.busy + entry.idle.len())
+    }
+
+    /// Closes idle connections that are too old or were closed by their server, and forgets
+    /// addresses without connections.
+    pub fn sweep(&self, now: Moment) {
+        let idle_limit = self.state.options.idle_limit;
+        self.state.entries.borrow_mut().retain(|_, entry| {
+            entry.idle.retain(|connection| {
+                let since = connection.idle_since.unwrap_or(now);
+                now.since(since) <= idle_limit && connection.is_quiet()
+            });
+            entry.busy > 0 || !entry.idle.is_empty()
+        });
+    }
+}
+
+/// A reserved place; given back when dropped.
+#[derive(Debug)]
+pub(crate) struct ConnectionPlace {
+    pool: ConnectionPool,
+    address: SocketAddr,
+}
+
+impl ConnectionPlace {
+    /// Gives the place back together with a connection that may carry another request.
+    pub(crate) fn keep(self, mut connection: ServerConnection, now: Moment) {
+        connection.idle_since = Some(now);
+        let mut entries = self.pool.state.entries.borrow_mut();
+        if let Some(entry) = entries.get_mut(&self.address) {
+            entry.idle.push(connection);
+        }
+    }
+}
+
+impl Drop for ConnectionPlace {
+    fn drop(&mut self) {
+        let mut entries = self.pool.state.entries.borrow_mut();
+        if let Some(entry) = entries.get_mut(&self.address) {
+            entry.busy = entry.busy.saturating_sub(1);
+        }
+    }
+}
