Add the ledger of issued keys

A non-idempotent request must run at most once although gates die, freeze and lose answers, without a store write per request.

The ledger admits each key of one gate's run once and remembers it until the key's life ends. The end of life is checked against a list of marks rather than taken from the key's text: an altered text could otherwise bring a key back after its use was forgotten. Fingerprints grow from 64 to 128 bits (RequestFingerprint changes its type; nothing used it yet).

--- a/crates/once/src/admission.rs
+++ b/crates/once/src/admission.rs
@@ -3,10 +3,6 @@
 use bytes::Bytes;
 use ggs_model::{GateId, RunVerdict};
 
-/// Digest of service, method, path and body; tells a repeat from a key used for something else.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub struct RequestFingerprint(pub u64);
-
 /// Right to run a keyed request once; not cloneable.
 #[derive(Debug, PartialEq, Eq)]
 pub struct RunTicket {
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -5,7 +5,11 @@
 //! pass the request on to it. When that run is gone, the answer is "unknown" and never a second run.
 
 mod admission;
+mod fingerprint;
 mod key;
+mod ledger;
 
-pub use admission::{KeptAnswer, KeyAdmission, KeyOutcome, RequestFingerprint, RunTicket};
+pub use admission::{KeptAnswer, KeyAdmission, KeyOutcome, RunTicket};
+pub use fingerprint::{FingerprintMaker, RequestFingerprint, RequestParts};
 pub use key::{ParseKeyError, RequestKey};
+pub use ledger::{KeyLedger, KeyLimits};
