Add the gate: callers' port, requests, entry answers and drain

Cause: no process serves a request. Change: one thread with the accept loop, routes, checked requests, streamed answers, verdicts, a first reader of the platform's documents and host list, and a drain that outlives entry answers. Not yet: exchange between gates, keyed requests, measuring, operators' routes.

--- /dev/null
+++ b/crates/gate/src/answer.rs
@@ -0,0 +1,137 @@
+//! Answers that a gate gives itself: failures with verdicts, and JSON.
+
+use std::time::Duration;
+
+use actix_http::header::{HeaderName, HeaderValue};
+use actix_http::{Response, StatusCode};
+use ggs_model::{HeaderNames, RunVerdict};
+use ggs_relay::{FailureKind, RelayFailure};
+use serde::Serialize;
+use strum::IntoStaticStr;
+
+use crate::body::GateBody;
+
+/// Time after which a caller may ask again when a gate does not know its service yet.
+const UNKNOWN_SERVICE_WAIT: Duration = Duration::from_secs(1);
+
+/// What is wrong with a request; it did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub(crate) enum CallerFault {
+    /// No route has this path.
+    UnknownPath,
+    /// The route has other methods.
+    BadMethod,
+    /// No document for the service is in force.
+    UnknownService,
+    /// The class header names no class.
+    BadClass,
+    /// The deadline header is not a number of milliseconds from 1 to 3,600,000.
+    BadDeadline,
+    /// The attempt header is not a number.
+    BadAttempt,
+    /// A header is not text.
+    BadHeader,
+    /// The path or query after the service's name is not valid.
+    BadTarget,
+    /// The body ended before its announced length, or came too slowly.
+    BodyIncomplete,
+    /// The body is longer than the gate's limit.
+    BodyTooLong,
+    /// The deadline passed before the request was whole.
+    DeadlinePassed,
+}
+
+impl CallerFault {
+    /// The HTTP status that says it.
+    const fn status(self) -> StatusCode {
+        match self {
+            Self::UnknownPath | Self::UnknownService => StatusCode::NOT_FOUND,
+            Self::BadMethod => StatusCode::METHOD_NOT_ALLOWED,
+            Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
+            Self::BadClass
+            | Self::BadDeadline
+            | Self::BadAttempt
+            | Self::BadHeader
+            | Self::BadTarget
+            | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
+        }
+    }
+}
+
+/// The body of a failure.
+#[derive(Debug, Serialize)]
+struct FailureBody<'a> {
+    verdict: RunVerdict,
+    reason: &'a str,
+    retry_after_ms: Option<u64>,
+}
+
+/// A failure with its verdict, its reason and the time after which to ask again.
+pub(crate) fn failure(
+    status: StatusCode,
+    verdict: RunVerdict,
+    reason: &str,
+    retry_after: Option<Duration>,
+) -> Response<GateBody> {
+    let retry_after_ms = retry_after.map(|wait| wait.as_millis() as u64);
+    let body = FailureBody {
+        verdict,
+        reason,
+        retry_after_ms,
+    };
+    let mut response = json(status, &body);
+    set_header(&mut response, HeaderNames::VERDICT, <&str>::from(verdict));
+    set_header(&mut response, HeaderNames::REASON, reason);
+    if let Some(millis) = retry_after_ms {
+        set_header(
+            &mut response,
+            HeaderNames::RETRY_AFTER_MS,
+            &millis.to_string(),
+        );
+        let seconds = millis.div_ceil(1_000).max(1);
+        set_header(&mut response, "retry-after", &seconds.to_string());
+    }
+    response
+}
+
+/// The answer to a faulty request.
+pub(crate) fn fault(fault: CallerFault) -> Response<GateBody> {
+    let wait = matches!(fault, CallerFault::UnknownService).then_some(UNKNOWN_SERVICE_WAIT);
+    failure(fault.status(), RunVerdict::NotRun, fault.into(), wait)
+}
+
+/// The answer to a request that the relay gave up on.
+pub(crate) fn relay_failure(failure_found: &RelayFailure) -> Response<GateBody> {
+    let RelayFailure {
+        verdict,
+        kind,
+        retry_after,
+    } = *failure_found;
+    let status = match (verdict, kind) {
+        (RunVerdict::NotRun, _) => StatusCode::SERVICE_UNAVAILABLE,
+        (_, FailureKind::AnswerTimeout | FailureKind::DeadlinePassed) => {
+            StatusCode::GATEWAY_TIMEOUT
+        }
+        _ => StatusCode::BAD_GATEWAY,
+    };
+    failure(status, verdict, kind.into(), Some(retry_after))
+}
+
+/// A JSON answer.
+pub(crate) fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<GateBody> {
+    let text = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::with_body(status, GateBody::whole(text.into()));
+    set_header(&mut response, "content-type", "application/json");
+    response
+}
+
+/// Sets a header to a text that is known to be valid.
+pub(crate) fn set_header(response: &mut Response<GateBody>, name: &'static str, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        response
+            .headers_mut()
+            .insert(HeaderName::from_static(name), value);
+    }
+}
--- /dev/null
+++ b/crates/gate/src/caller.rs
@@ -0,0 +1,91 @@
+//! A caller's socket, watched for writes that never progress.
+//!
+//! A caller that stops reading, or a path that swallows bytes, would hold a server's slot for good.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use actix_rt::net::{ActixStream, Ready};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+/// Longest time for which a write may make no progress.
+const WRITE_STALL_LIMIT: Duration = Duration::from_secs(20);
+
+/// A caller's socket.
+#[derive(Debug)]
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    stalled: Option<Pin<Box<Sleep>>>,
+}
+
+impl CallerStream {
+    /// Watches a socket.
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            stalled: None,
+        }
+    }
+
+    /// Fails a write that has waited too long.
+    fn watch<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        polled: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
+        if polled.is_ready() {
+            self.stalled = None;
+            return polled;
+        }
+        let stalled = self
+            .stalled
+            .get_or_insert_with(|| Box::pin(sleep(WRITE_STALL_LIMIT)));
+        match stalled.as_mut().poll(context) {
+            Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let polled = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.watch(context, polled)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
+impl ActixStream for CallerStream {
+    fn poll_read_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, context)
+    }
+
+    fn poll_write_ready(&self, context: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, context)
+    }
+}
--- /dev/null
+++ b/crates/gate/src/core.rs
@@ -0,0 +1,160 @@
+//! State that the tasks of one gate share.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use foldhash::{HashMap, HashMapExt};
+use ggs_model::{BootClock, GateId, ServerEntry, ServiceName, VersionedDocument};
+use ggs_observe::{EventLog, GateMetrics};
+use ggs_pick::{LeastInFlight, ServerChooser, ServerSeed};
+use ggs_relay::{ConnectionOptions, ConnectionPool};
+use ggs_settings::GateSettings;
+
+use crate::retries::RetryShare;
+use crate::transport::GateTransport;
+
+/// The policy that gates use.
+pub(crate) type GateChooser = LeastInFlight;
+
+/// State of one gate.
+#[derive(Debug)]
+pub(crate) struct GateCore {
+    /// What the settings file said.
+    pub(crate) settings: GateSettings,
+    /// This run of the gate.
+    pub(crate) id: GateId,
+    /// The host's clock.
+    pub(crate) clock: BootClock,
+    /// Where events go.
+    pub(crate) log: EventLog,
+    /// The gate's metrics.
+    pub(crate) metrics: GateMetrics,
+    /// Makes attempts at servers.
+    pub(crate) transport: GateTransport,
+    /// Services by name.
+    services: RefCell<HashMap<ServiceName, Rc<ServiceCore>>>,
+    /// The latest host list.
+    listed: RefCell<Vec<ServerEntry>>,
+    /// Whether the gate finishes its work and ends.
+    draining: Cell<bool>,
+    /// The address that callers reach, once bound.
+    caller_address: Cell<SocketAddr>,
+}
+
+/// State of one service at one gate.
+#[derive(Debug)]
+pub(crate) struct ServiceCore {
+    /// The document in force.
+    document: RefCell<VersionedDocument>,
+    /// Chooses servers.
+    pub(crate) chooser: Rc<RefCell<GateChooser>>,
+    /// Grants retries.
+    pub(crate) retries: RefCell<RetryShare>,
+}
+
+impl ServiceCore {
+    /// The document in force.
+    pub(crate) fn document(&self) -> VersionedDocument {
+        self.document.borrow().clone()
+    }
+}
+
+impl GateCore {
+    /// A core that knows no service yet.
+    pub(crate) fn new(settings: GateSettings, id: GateId, log: EventLog) -> Rc<Self> {
+        let pool = ConnectionPool::new(ConnectionOptions::default());
+        let caller_address = Cell::new(settings.listen_callers);
+        Rc::new(Self {
+            settings,
+            id,
+            clock: BootClock,
+            log,
+            metrics: GateMetrics::new(),
+            transport: GateTransport::new(pool),
+            services: RefCell::new(HashMap::new()),
+            listed: RefCell::new(Vec::new()),
+            draining: Cell::new(false),
+            caller_address,
+        })
+    }
+
+    /// The service called `name`.
+    pub(crate) fn service(&self, name: &str) -> Option<Rc<ServiceCore>> {
+        self.services.borrow().get(name).map(Rc::clone)
+    }
+
+    /// Puts a document in force unless a newer one already is; tells whether it was.
+    pub(crate) fn put_in_force(&self, versioned: VersionedDocument) -> bool {
+        let name = versioned.document.service.clone();
+        if let Some(service) = self.service(name.as_str()) {
+            if service.document.borrow().revision >= versioned.revision {
+                return false;
+            }
+            *service.document.borrow_mut() = versioned;
+            service
+                .retries
+                .borrow_mut()
+                .set_percent(service.document().document.retry_percent);
+            self.refresh_servers(&service);
+            return true;
+        }
+        let retries = RetryShare::new(versioned.document.retry_percent);
+        let service = Rc::new(ServiceCore {
+            document: RefCell::new(versioned),
+            chooser: Rc::new(RefCell::new(GateChooser::new())),
+            retries: RefCell::new(retries),
+        });
+        self.refresh_servers(&service);
+        self.services.borrow_mut().insert(name, service);
+        true
+    }
+
+    /// Takes a new host list.
+    pub(crate) fn set_listed(&self, listed: Vec<ServerEntry>) {
+        *self.listed.borrow_mut() = listed;
+        let services: Vec<_> = self.services.borrow().values().map(Rc::clone).collect();
+        for service in services {
+            self.refresh_servers(&service);
+        }
+    }
+
+    /// Gives a service's chooser the servers that take new work.
+    fn refresh_servers(&self, service: &ServiceCore) {
+        let document = Arc::clone(&service.document.borrow().document);
+        let listed = self.listed.borrow();
+        let open = listed.iter().filter(|entry| {
+            entry.service == document.service && entry.state == ggs_model::ServerState::Live
+        });
+        let seeds: Vec<ServerSeed> = open
+            .map(|entry| ServerSeed {
+                server: entry.server,
+                slots: document.slots,
+                near: entry.data_centre == self.settings.data_centre,
+            })
+            .collect();
+        let now = ggs_model::Clock::now(&self.clock);
+        service.chooser.borrow_mut().replace_servers(&seeds, now);
+    }
+
+    /// Whether the gate finishes its work and ends.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// Starts to drain.
+    pub(crate) fn set_draining(&self) {
+        self.draining.set(true);
+    }
+
+    /// The address that callers reach.
+    pub(crate) fn caller_address(&self) -> SocketAddr {
+        self.caller_address.get()
+    }
+
+    /// Sets the address that callers reach, after binding it.
+    pub(crate) fn set_caller_address(&self, address: SocketAddr) {
+        self.caller_address.set(address);
+    }
+}
--- /dev/null
+++ b/crates/gate/src/entries.rs
@@ -0,0 +1,35 @@
+//! Entry answers: which addresses a caller should use for a service.
+
+use actix_http::{Response, StatusCode};
+use serde::Serialize;
+
+use crate::answer::{self, CallerFault};
+use crate::body::GateBody;
+use crate::core::GateCore;
+
+/// Addresses for one service.
+#[derive(Debug, Serialize)]
+struct EntryAnswer<'a> {
+    service: &'a str,
+    /// Addresses in the order in which to try them.
+    addresses: Vec<std::net::SocketAddr>,
+    /// Time that the answer may be kept, in milliseconds.
+    ttl_ms: u64,
+}
+
+/// Serves `GET /v1/entries/{service}`.
+pub(crate) fn serve(core: &GateCore, service: &str) -> Response<GateBody> {
+    if core.service(service).is_none() {
+        return answer::fault(CallerFault::UnknownService);
+    }
+    let addresses = vec![core.caller_address()];
+    let ttl_ms = core.settings.entry_ttl_ms;
+    answer::json(
+        StatusCode::OK,
+        &EntryAnswer {
+            service,
+            addresses,
+            ttl_ms,
+        },
+    )
+}
--- /dev/null
+++ b/crates/gate/src/handle.rs
@@ -0,0 +1,137 @@
+//! Start and end of a gate.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ggs_model::{GateId, Incarnation};
+use ggs_observe::{EventLog, LogEvent};
+use ggs_settings::GateSettings;
+use ggs_store::HttpPlatform;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::core::GateCore;
+use crate::listen::{self, OpenCallers};
+use crate::upstream;
+
+/// Time beyond an entry answer's life for which a draining gate still accepts callers.
+const DRAIN_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time between two sweeps of idle server connections.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// Why a gate did not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address could not be bound.
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        cause: io::Error,
+    },
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind { address, cause } => {
+                write!(formatter, "address {address} cannot be bound: {cause}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// A running gate.
+#[derive(Debug)]
+pub struct GateHandle {
+    core: Rc<GateCore>,
+    open: OpenCallers,
+    stop: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Starts a gate on the current actix-rt runtime.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn start(settings: GateSettings, log: EventLog) -> Result<GateHandle, StartError> {
+    let address = settings.listen_callers;
+    let bound = TcpListener::bind(address).await;
+    let listener = bound.map_err(|cause| StartError::Bind { address, cause })?;
+    let incarnation = Incarnation(rand::random());
+    let id = GateId {
+        host: settings.host.clone(),
+        incarnation,
+    };
+    let platform = HttpPlatform::builder(&settings.platform).build();
+    let core = GateCore::new(settings, id, log);
+    core.set_caller_address(listener.local_addr().unwrap_or(address));
+    let (stop, stopped) = watch::channel(false);
+    let open = OpenCallers::default();
+    let tasks = vec![
+        actix_rt::spawn(listen::accept(
+            Rc::clone(&core),
+            listener,
+            open.clone(),
+            stopped,
+        )),
+        actix_rt::spawn(upstream::follow(Rc::clone(&core), platform)),
+        actix_rt::spawn(sweep(Rc::clone(&core))),
+    ];
+    let pairs = slog::o!(
+        "callers" => core.caller_address().to_string(),
+        "gate" => core.id.to_string(),
+    );
+    core.log.emit(LogEvent::GateStarted, "gate listens", pairs);
+    Ok(GateHandle {
+        core,
+        open,
+        stop,
+        tasks,
+    })
+}
+
+/// Closes idle server connections that are too old.
+async fn sweep(core: Rc<GateCore>) {
+    loop {
+        tokio::time::sleep(SWEEP_PERIOD).await;
+        core.transport
+            .pool()
+            .sweep(ggs_model::Clock::now(&core.clock));
+    }
+}
+
+impl GateHandle {
+    /// The address that callers reach.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.core.caller_address()
+    }
+
+    /// Drains the gate: it is no longer handed out, serves until the last entry answer that named
+    /// it has run out, finishes every request, and ends.
+    pub async fn drain(self) {
+        self.core
+            .log
+            .emit(LogEvent::GateDraining, "gate drains", slog::o!());
+        self.core.set_draining();
+        let kept = Duration::from_millis(self.core.settings.entry_ttl_ms);
+        tokio::time::sleep(kept + DRAIN_MARGIN).await;
+        // Receivers end with their tasks.
+        let _ = self.stop.send(true);
+        self.open.finished().await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.core
+            .log
+            .emit(LogEvent::GateStopped, "gate ends", slog::o!());
+    }
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -1,11 +1,30 @@
-//! Library behind `ggs-gate`.
+//! Library behind `ggs-gate`: the entry daemon, and [`start`] to run one inside a process.
+//!
+//! A gate runs on one thread. Its state is a [`core::GateCore`] shared by the tasks that accept
+//! callers, follow the platform and exchange state with other gates. All decisions live in the other
+//! crates; this one connects them to sockets.
+
+mod answer;
+mod body;
+mod caller;
+mod cli;
+mod core;
+mod entries;
+mod forward;
+mod handle;
+mod listen;
+mod request;
+mod retries;
+mod route;
+mod transport;
+mod upstream;
 
 use std::ffi::OsString;
 use std::process::ExitCode;
 
+pub use handle::{GateHandle, StartError, start};
+
 /// Runs the program with its arguments, the program's own name first.
 pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
-    drop(arguments.into_iter());
-    eprintln!("ggs-gate: not built yet");
-    ExitCode::FAILURE
+    cli::run(arguments)
 }
--- /dev/null
+++ b/crates/gate/src/listen.rs
@@ -0,0 +1,107 @@
+//! The callers' port: accepts connections and, at the end, lets each finish.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{HttpService, KeepAlive, Request};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use ggs_observe::LogEvent;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::caller::CallerStream;
+use crate::core::GateCore;
+use crate::route;
+
+/// Longest time for the head of a request.
+const HEAD_TIME: Duration = Duration::from_secs(5);
+
+/// Time for which an idle caller connection is kept.
+const IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// Longest time to finish a close.
+const CLOSE_TIME: Duration = Duration::from_secs(2);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How often the end of all connections is checked.
+const FINISH_CHECK: Duration = Duration::from_millis(10);
+
+/// Counts open caller connections.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OpenCallers {
+    count: Rc<Cell<usize>>,
+}
+
+impl OpenCallers {
+    /// Waits until no connection is open.
+    pub(crate) async fn finished(&self) {
+        while self.count.get() > 0 {
+            tokio::time::sleep(FINISH_CHECK).await;
+        }
+    }
+}
+
+/// Accepts callers until `stop` turns true, then tells connections to end once idle.
+pub(crate) async fn accept(
+    core: Rc<GateCore>,
+    listener: TcpListener,
+    open: OpenCallers,
+    stop: watch::Receiver<bool>,
+) {
+    let signal = stop.clone();
+    let routes = {
+        let core = Rc::clone(&core);
+        fn_service(move |request: Request| {
+            let core = Rc::clone(&core);
+            async move { Ok::<_, Infallible>(route::serve(&core, request).await) }
+        })
+    };
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(IDLE_TIME))
+        .client_request_timeout(HEAD_TIME)
+        .client_disconnect_timeout(CLOSE_TIME)
+        .graceful_shutdown_signal(move || stopped(signal.clone()))
+        .h1(routes.into_factory());
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    let service = Rc::new(service);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped(stop.clone()) => return,
+        };
+        let Ok((stream, peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // A socket that cannot be tuned still works.
+        let _ = stream.set_nodelay(true);
+        open.count.set(open.count.get() + 1);
+        core.metrics.callers.inc();
+        let (service, open, core) = (Rc::clone(&service), open.clone(), Rc::clone(&core));
+        actix_rt::spawn(async move {
+            let ended = service.call((CallerStream::new(stream), Some(peer))).await;
+            if let Err(error) = ended {
+                let pairs = slog::o!("caller" => peer.to_string(), "cause" => error.to_string());
+                core.log.emit(
+                    LogEvent::CallerConnectionFailed,
+                    "caller connection ended",
+                    pairs,
+                );
+            }
+            core.metrics.callers.dec();
+            open.count.set(open.count.get() - 1);
+        });
+    }
+}
+
+/// Waits until `stop` turns true.
+async fn stopped(mut stop: watch::Receiver<bool>) {
+    // A sender that is gone stops too.
+    let _ = stop.wait_for(|stopped| *stopped).await;
+}
--- /dev/null
+++ b/crates/gate/src/route.rs
@@ -0,0 +1,56 @@
+//! Routes of the callers' port.
+
+use std::rc::Rc;
+
+use actix_http::{ConnectionType, Method, Request, Response, StatusCode};
+use ggs_model::HeaderNames;
+
+use crate::answer::{self, CallerFault};
+use crate::body::GateBody;
+use crate::core::GateCore;
+use crate::{entries, forward};
+
+/// Answers one request of a caller or an operator.
+pub(crate) async fn serve(core: &Rc<GateCore>, request: Request) -> Response<GateBody> {
+    let mut response = dispatch(core, request).await;
+    answer::set_header(&mut response, HeaderNames::GATE, core.id.host.as_str());
+    if core.is_draining() {
+        response
+            .head_mut()
+            .set_connection_type(ConnectionType::Close);
+    }
+    response
+}
+
+/// Finds the route of a request.
+async fn dispatch(core: &Rc<GateCore>, request: Request) -> Response<GateBody> {
+    let uri = request.uri().clone();
+    let path = uri.path();
+    let is_get = request.method() == Method::GET;
+    if let Some(rest) = path.strip_prefix("/s/") {
+        let name = rest.split('/').next().unwrap_or(rest);
+        let whole = uri.path_and_query().map_or(path, |target| target.as_str());
+        let target = whole.get("/s/".len() + name.len()..).unwrap_or("");
+        let target = if target.starts_with('/') {
+            target.to_owned()
+        } else {
+            format!("/{target}")
+        };
+        return forward::serve(core, name, &target, request).await;
+    }
+    match path.split('/').skip(1).collect::<Vec<_>>().as_slice() {
+        ["v1", "entries", service] if is_get => entries::serve(core, service),
+        ["metrics"] if is_get => metrics(core),
+        ["v1", "entries", _] | ["metrics"] => answer::fault(CallerFault::BadMethod),
+        _ => answer::fault(CallerFault::UnknownPath),
+    }
+}
+
+/// Serves `GET /metrics`.
+fn metrics(core: &GateCore) -> Response<GateBody> {
+    let text = core.metrics.render();
+    let mut response = Response::with_body(StatusCode::OK, GateBody::whole(text.into()));
+    let kind = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+    answer::set_header(&mut response, "content-type", kind);
+    response
+}
--- /dev/null
+++ b/crates/gate/src/transport.rs
@@ -0,0 +1,102 @@
+//! The transport to servers, with a look at the head of each answer.
+//!
+//! What an answer says of its server (leaving, incarnation) is noted here, once for every attempt,
+//! whether the relay then keeps the answer or turns it down. Most answers say nothing new, so the
+//! notes are a short list that another task empties.
+
+use std::cell::RefCell;
+
+use actix_http::header::HeaderMap;
+use ggs_model::{HeaderNames, Incarnation, ServerId};
+use ggs_relay::{
+    AttemptFailure, AttemptPlan, ConnectionPool, HttpTransport, RelayBody, RelayRequest,
+    ServerAnswer, ServerTransport,
+};
+use tokio::sync::Notify;
+
+/// Signs kept until they are taken; later ones are dropped, as they come again with each answer.
+const SIGN_LIMIT: usize = 1_024;
+
+/// What an answer said of its server beyond its load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ServerSign {
+    /// The run of the server as the gate knew it.
+    pub(crate) known: ServerId,
+    /// The run that answered, if the answer names it.
+    pub(crate) answered: Option<Incarnation>,
+    /// Whether the server said that it is leaving.
+    pub(crate) leaving: bool,
+}
+
+/// Makes attempts over HTTP and notes signs in the heads of answers.
+#[derive(Debug)]
+pub(crate) struct GateTransport {
+    inner: HttpTransport,
+    signs: RefCell<Vec<ServerSign>>,
+    signed: Notify,
+}
+
+impl GateTransport {
+    /// A transport with the connections of `pool`.
+    pub(crate) fn new(pool: ConnectionPool) -> Self {
+        let inner = HttpTransport::new(pool);
+        Self {
+            inner,
+            signs: RefCell::new(Vec::new()),
+            signed: Notify::new(),
+        }
+    }
+
+    /// The transport's connections.
+    pub(crate) fn pool(&self) -> &ConnectionPool {
+        self.inner.pool()
+    }
+
+    /// Waits for signs and takes them.
+    #[expect(
+        dead_code,
+        reason = "the task that takes signs lands with the exchange between gates"
+    )]
+    pub(crate) async fn take_signs(&self) -> Vec<ServerSign> {
+        loop {
+            let signs = std::mem::take(&mut *self.signs.borrow_mut());
+            if !signs.is_empty() {
+                return signs;
+            }
+            self.signed.notified().await;
+        }
+    }
+
+    /// Notes what a head says of its server.
+    fn note_sign(&self, known: ServerId, headers: &HeaderMap) {
+        let leaving = headers.contains_key(HeaderNames::LEAVING);
+        let answered = headers.get(HeaderNames::INCARNATION);
+        let answered = answered.and_then(|value| value.to_str().ok()?.parse().ok());
+        let other_run = answered.is_some_and(|incarnation| incarnation != known.incarnation);
+        let mut signs = self.signs.borrow_mut();
+        if !(leaving || other_run) || signs.len() >= SIGN_LIMIT {
+            return;
+        }
+        signs.push(ServerSign {
+            known,
+            answered,
+            leaving,
+        });
+        self.signed.notify_one();
+    }
+}
+
+impl ServerTransport for GateTransport {
+    type Body = RelayBody;
+
+    async fn attempt(
+        &self,
+        server: ServerId,
+        request: &RelayRequest,
+        plan: AttemptPlan,
+    ) -> Result<ServerAnswer<RelayBody>, AttemptFailure> {
+        let answer = self.inner.attempt(server, request, plan).await?;
+        self.note_sign(server, &answer.head.headers);
+        Ok(answer)
+    }
+}
