--- a/crates/once/src/fingerprint.rs
+++ b/crates/once/src/fingerprint.rs
@@ -1,9 +1,10 @@
 //! Digests that tell a repeated request from a key used for something else.
 //!
 //! A digest is compared only inside the process that made it, so the hash needs no output that is
-//! stable between versions. Both lanes are seeded at random when the process starts; 128 bits of an ideal hash keep
-//! the chance that two of 10^9 requests share a digest below 10^-20. The hash is not a cryptographic
-//! one: a caller that forges a collision only deceives itself, because it has to own the key.
+//! stable between versions. Both lanes are seeded at random when the process starts; 128 bits of an
+//! ideal hash keep the chance that two of 10^9 requests share a digest below 10^-20. The hash is not
+//! a cryptographic one: a caller that forges a collision only deceives itself, because it has to own
+//! the key.
 
 use std::hash::{BuildHasher, Hasher};
 
