--- /dev/null
+++ b/crates/follow/tests/accept.rs
@@ -0,0 +1,301 @@
+//! Edits against a table that loses answers, holds writes back, and takes other operators' edits.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use ggs_follow::{DocumentEdit, EditAnswer, EditId, accept_edit, document_key};
+use ggs_model::{DocumentRevision, ServiceDocument, ServiceName};
+use ggs_store::{RowVersion, StoreError, TableRow, TableStore, TableWrite, WriteOutcome};
+
+/// What happens to one write.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum WriteFate {
+    Answered,
+    AnswerLost,
+    RequestLost,
+    TakenLater,
+    Refused,
+    OtherFirst(&'static str),
+}
+
+/// A table in memory with a list of fates for its next writes.
+#[derive(Default)]
+struct FakeTable {
+    rows: RefCell<BTreeMap<String, TableRow>>,
+    fates: RefCell<VecDeque<WriteFate>>,
+    held: RefCell<Vec<TableWrite>>,
+}
+
+impl FakeTable {
+    fn apply(&self, write: &TableWrite) -> WriteOutcome {
+        let mut rows = self.rows.borrow_mut();
+        for check in &write.checks {
+            let version = rows
+                .get(&check.key)
+                .map_or(RowVersion(0), |row| row.version);
+            if version != check.version {
+                let key = check.key.clone();
+                return WriteOutcome::Conflict { key, version };
+            }
+        }
+        for put in &write.puts {
+            let version = rows.get(&put.key).map_or(1, |row| row.version.0 + 1);
+            let row = TableRow {
+                key: put.key.clone(),
+                version: RowVersion(version),
+                value: put.value.clone(),
+            };
+            rows.insert(put.key.clone(), row);
+        }
+        WriteOutcome::Written
+    }
+
+    fn late_writes(&self) -> Vec<WriteOutcome> {
+        self.held
+            .take()
+            .iter()
+            .map(|write| self.apply(write))
+            .collect()
+    }
+}
+
+fn lost() -> StoreError {
+    StoreError::Unanswered {
+        call: "write".to_owned(),
+        cause: "timeout".to_owned(),
+    }
+}
+
+impl TableStore for FakeTable {
+    async fn get(&self, key: &str) -> Result<Option<TableRow>, StoreError> {
+        Ok(self.rows.borrow().get(key).cloned())
+    }
+
+    async fn list(&self, _prefix: &str) -> Result<Vec<TableRow>, StoreError> {
+        Ok(self.rows.borrow().values().cloned().collect())
+    }
+
+    async fn write(&self, write: &TableWrite) -> Result<WriteOutcome, StoreError> {
+        let fate = self
+            .fates
+            .borrow_mut()
+            .pop_front()
+            .unwrap_or(WriteFate::Answered);
+        match fate {
+            WriteFate::Answered => Ok(self.apply(write)),
+            WriteFate::AnswerLost => {
+                self.apply(write);
+                Err(lost())
+            }
+            WriteFate::RequestLost => Err(lost()),
+            WriteFate::TakenLater => {
+                self.held.borrow_mut().push(write.clone());
+                Err(lost())
+            }
+            WriteFate::Refused => Err(StoreError::Unavailable {
+                call: "write".to_owned(),
+                cause: "down".to_owned(),
+            }),
+            WriteFate::OtherFirst(service) => {
+                let other = edit(service, "other", self.revision_of(service), 7);
+                let (answer, _) = Box::pin(accept_edit(self, &other, DocumentRevision(0))).await;
+                assert!(matches!(answer, EditAnswer::Accepted { .. }));
+                Ok(self.apply(write))
+            }
+        }
+    }
+}
+
+impl FakeTable {
+    fn revision_of(&self, service: &str) -> u64 {
+        let key = document_key(&ServiceName::new(service));
+        let rows = self.rows.borrow();
+        rows.get(&key)
+            .map_or(0, |row| row.value["revision"].as_u64().unwrap())
+    }
+
+    fn fleet(&self) -> u64 {
+        let rows = self.rows.borrow();
+        rows.get("documents/head")
+            .map_or(0, |row| row.value["fleet"].as_u64().unwrap())
+    }
+}
+
+fn edit(service: &str, id: &str, base: u64, retry_percent: u32) -> DocumentEdit {
+    let mut document = ServiceDocument::new(service, "wagowa");
+    document.retry_percent = retry_percent;
+    DocumentEdit {
+        id: EditId::new(id).unwrap(),
+        base: DocumentRevision(base),
+        document: Arc::new(document),
+    }
+}
+
+/// Takes a lost answer for a write that was not made, and starts over without looking for its own.
+async fn accept_naively(table: &FakeTable, edit: &DocumentEdit) -> &'static str {
+    for _ in 0..3 {
+        let service = edit.document.service.as_str();
+        if table.revision_of(service) != edit.base.0 {
+            return "conflict";
+        }
+        let head = table.get("documents/head").await.unwrap();
+        let row = table
+            .get(&document_key(&edit.document.service))
+            .await
+            .unwrap();
+        let plan = ggs_follow::plan_edit(edit, head.as_ref(), row.as_ref(), DocumentRevision(0));
+        let Ok(ggs_follow::EditPlan::Write { write, .. }) = plan else {
+            return "refused";
+        };
+        match table.write(&write).await {
+            Ok(WriteOutcome::Written) => return "accepted",
+            Ok(WriteOutcome::Conflict { .. }) => return "conflict",
+            Err(_) => {}
+        }
+    }
+    "unavailable"
+}
+
+fn name_of(answer: &EditAnswer) -> &'static str {
+    match answer {
+        EditAnswer::Accepted { .. } => "accepted",
+        EditAnswer::Conflict { .. } => "conflict",
+        EditAnswer::Refused { .. } => "refused",
+        EditAnswer::Unavailable { .. } => "unavailable",
+        EditAnswer::Unknown { .. } => "unknown",
+    }
+}
+
+#[actix_rt::test]
+async fn answers_are_true_whatever_becomes_of_the_write() {
+    struct Case {
+        fates: &'static [WriteFate],
+        expected: &'static str,
+        naive: &'static str,
+        fleet: u64,
+    }
+    use WriteFate::{AnswerLost, Answered, OtherFirst, Refused, RequestLost, TakenLater};
+    let cases = [
+        Case {
+            fates: &[],
+            expected: "accepted",
+            naive: "accepted",
+            fleet: 1,
+        },
+        Case {
+            fates: &[AnswerLost],
+            expected: "accepted",
+            naive: "conflict",
+            fleet: 1,
+        },
+        Case {
+            fates: &[RequestLost],
+            expected: "accepted",
+            naive: "accepted",
+            fleet: 1,
+        },
+        Case {
+            fates: &[TakenLater],
+            expected: "accepted",
+            naive: "accepted",
+            fleet: 1,
+        },
+        Case {
+            fates: &[TakenLater, AnswerLost],
+            expected: "accepted",
+            naive: "conflict",
+            fleet: 1,
+        },
+        Case {
+            fates: &[Refused],
+            expected: "unavailable",
+            naive: "accepted",
+            fleet: 0,
+        },
+        Case {
+            fates: &[TakenLater, Refused],
+            expected: "unknown",
+            naive: "accepted",
+            fleet: 0,
+        },
+        Case {
+            fates: &[OtherFirst("ledger")],
+            expected: "conflict",
+            naive: "conflict",
+            fleet: 1,
+        },
+        Case {
+            fates: &[OtherFirst("yield")],
+            expected: "accepted",
+            naive: "conflict",
+            fleet: 2,
+        },
+        Case {
+            fates: &[RequestLost, OtherFirst("ledger")],
+            expected: "conflict",
+            naive: "conflict",
+            fleet: 1,
+        },
+        Case {
+            fates: &[RequestLost, OtherFirst("yield"), Answered],
+            expected: "accepted",
+            naive: "conflict",
+            fleet: 2,
+        },
+    ];
+    for case in cases {
+        let table = FakeTable {
+            fates: RefCell::new(case.fates.iter().copied().collect()),
+            ..FakeTable::default()
+        };
+        let change = edit("ledger", "mine", 0, 1);
+        let (answer, _) = accept_edit(&table, &change, DocumentRevision(0)).await;
+        assert_eq!(name_of(&answer), case.expected, "{:?}", case.fates);
+        assert_eq!(table.fleet(), case.fleet, "{:?}", case.fates);
+        if case.expected == "accepted" {
+            let late = table.late_writes();
+            assert!(
+                !late.contains(&WriteOutcome::Written),
+                "{:?}: written twice",
+                case.fates
+            );
+            let (again, _) = accept_edit(&table, &change, DocumentRevision(0)).await;
+            assert_eq!(again, answer, "{:?}: sent again", case.fates);
+            assert_eq!(table.fleet(), case.fleet, "{:?}", case.fates);
+        }
+        let table = FakeTable {
+            fates: RefCell::new(case.fates.iter().copied().collect()),
+            ..FakeTable::default()
+        };
+        assert_eq!(
+            accept_naively(&table, &change).await,
+            case.naive,
+            "{:?}",
+            case.fates
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn same_id_gets_the_same_answer_after_later_edits() {
+    let table = FakeTable::default();
+    let first = edit("ledger", "first", 0, 1);
+    let in_force = DocumentRevision(0);
+    let (accepted, _) = accept_edit(&table, &first, in_force).await;
+    let (_, _) = accept_edit(&table, &edit("ledger", "second", 1, 2), in_force).await;
+    let (again, change) = accept_edit(&table, &first, in_force).await;
+    assert_eq!((again, change), (accepted, None));
+    let (reused, _) = accept_edit(&table, &edit("ledger", "first", 2, 3), in_force).await;
+    assert_eq!(name_of(&reused), "refused");
+    assert_eq!(table.fleet(), 2);
+}
+
+#[actix_rt::test]
+async fn table_that_went_back_takes_no_edit() {
+    let table = FakeTable::default();
+    let change = edit("ledger", "mine", 0, 1);
+    let (answer, _) = accept_edit(&table, &change, DocumentRevision(5)).await;
+    assert_eq!(name_of(&answer), "unavailable");
+    assert_eq!(table.fleet(), 0);
+}
