Add the wire types of the operators' API

Ruled out: ad-hoc JSON in both crates, which would drift apart; and a field in VersionedDocument for the edit id, which would change a row that other crates read with unknown fields refused. Change: crates/model/src/operator.rs and edit.rs. Conclusion: the gate and ggs-ctl can be built apart.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -6,9 +6,11 @@
 mod class;
 mod clock;
 mod document;
+mod edit;
 mod headers;
 mod identity;
 mod names;
+mod operator;
 mod server;
 mod verdict;
 
@@ -17,8 +19,13 @@
 pub use document::{
     ClassLimits, DocumentRevision, MeasuringBudget, RequestRule, ServiceDocument, VersionedDocument,
 };
+pub use edit::{EditId, ParseEditError};
 pub use headers::HeaderNames;
 pub use identity::{GateId, Incarnation, ServerId};
 pub use names::{DataCentre, HostName, PartnerName, ServiceName};
+pub use operator::{
+    AnswerFailure, BillAnswer, BillRow, DocumentStatus, EditAnswer, EditConflict, EditFault,
+    EditFaults, EditRequest, PeerStatus, StatusAnswer,
+};
 pub use server::{LoadReport, ParseReportError, ServerEntry, ServerState};
 pub use verdict::RunVerdict;
