Report every fault of settings and documents with its place

Ruled out: a schema crate (none pinned), serde_path_to_error (one fault a run). A fault of syntax hides those after it. class is left out of printed rules when none, so that printed documents read as themselves.

--- a/crates/model/src/document.rs
+++ b/crates/model/src/document.rs
@@ -36,7 +36,7 @@
     #[serde(default)]
     pub non_idempotent: bool,
     /// Class of the request; overrides the caller's header.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub class: Option<RequestClass>,
 }
 
--- /dev/null
+++ b/crates/settings/tests/random.rs
@@ -0,0 +1,201 @@
+//! Random texts and values.
+
+use std::net::SocketAddr;
+
+use ggs_model::{
+    ClassLimits, DataCentre, HostName, MeasuringBudget, RequestClass, RequestRule, ServiceDocument,
+};
+use ggs_settings::{
+    GateSettings, SettingsError, print_document, print_gate_settings, read_document,
+    read_gate_settings,
+};
+use proptest::prelude::*;
+
+/// Texts made of the pieces that settings consist of, in any order.
+fn broken_text() -> impl Strategy<Value = String> {
+    let piece = prop::sample::select(vec![
+        "{",
+        "}",
+        "[",
+        "]",
+        ",",
+        ":",
+        "\"service\"",
+        "\"rules\"",
+        "\"host\"",
+        "\"peers\"",
+        "\"method\"",
+        "\"platform\"",
+        "\"http://\"",
+        "\"127.0.0.1:1\"",
+        "1",
+        "-1",
+        "1e9",
+        "null",
+        "true",
+        "// x\n",
+        "/*",
+        "*/",
+        "\n",
+        "\r",
+        "\"",
+        "\\",
+        "\\ud800",
+        "é",
+        "\u{1F33F}",
+        "'a'",
+        "0x1",
+        "\"measuring\"",
+        "\"*\"",
+        "\"/\"",
+    ]);
+    prop::collection::vec(piece, 0..40).prop_map(|pieces| pieces.concat())
+}
+
+/// Any class limits that are in range.
+fn class_limits(high: u64) -> impl Strategy<Value = ClassLimits> {
+    (1..=high, 1..=high, 1..=high).prop_map(|(urgent, standard, export)| ClassLimits {
+        urgent,
+        standard,
+        export,
+    })
+}
+
+/// A rule with a path of its own, so that no earlier rule covers it.
+fn rule(index: usize) -> impl Strategy<Value = RequestRule> {
+    let method = prop::sample::select(vec!["GET", "POST", "*"]);
+    let class = prop::option::of(prop::sample::select(vec![
+        RequestClass::Urgent,
+        RequestClass::Standard,
+        RequestClass::Export,
+    ]));
+    (method, any::<bool>(), class).prop_map(move |(method, non_idempotent, class)| RequestRule {
+        method: method.into(),
+        path: format!("/{index}/").into(),
+        non_idempotent,
+        class,
+    })
+}
+
+/// Any valid document.
+fn document() -> impl Strategy<Value = ServiceDocument> {
+    let rules = prop::collection::vec(any::<()>(), 0..5)
+        .prop_flat_map(|rules| (0..rules.len()).map(rule).collect::<Vec<_>>());
+    let numbers = (
+        0_u32..=100,
+        0_u32..=50,
+        1_u32..=10_000,
+        10_000_u32..=100_000,
+    );
+    let measuring = (0_u32..=1_000_000, 1_000_u64..=86_400_000);
+    let parts = (
+        rules,
+        class_limits(3_600_000),
+        class_limits(100_000),
+        measuring,
+        numbers,
+    );
+    (parts, any::<bool>()).prop_map(
+        |((rules, deadline_ms, in_flight, measuring, numbers), trust)| ServiceDocument {
+            rules,
+            deadline_ms,
+            in_flight,
+            measuring: MeasuringBudget {
+                probes: measuring.0,
+                window_ms: measuring.1,
+            },
+            retry_percent: numbers.0,
+            eject_percent: numbers.1,
+            slots: numbers.2,
+            connections: numbers.3,
+            trust_refusals: trust,
+            ..ServiceDocument::new("ledger", "wagowa")
+        },
+    )
+}
+
+/// Any valid settings.
+fn settings() -> impl Strategy<Value = GateSettings> {
+    let peers = prop::collection::btree_set(2_u16..=u16::MAX, 0..5);
+    let numbers = (100_u64..=60_000, 1_usize..=64 << 20, 1_usize..=10_000_000);
+    (
+        "[a-z0-9][a-zA-Z0-9.-]{0,60}",
+        peers,
+        numbers,
+        100_u64..=86_400_000,
+    )
+        .prop_map(|(host, peers, numbers, key_ttl_ms)| GateSettings {
+            host: HostName::new(&host),
+            data_centre: DataCentre::new("nairobi-2"),
+            listen_callers: SocketAddr::from(([127, 0, 0, 1], 1)),
+            listen_peers: SocketAddr::from(([127, 0, 0, 2], 1)),
+            platform: "http://platform.example:9000".to_owned(),
+            peers: peers
+                .into_iter()
+                .map(|port| ([127, 0, 0, 1], port).into())
+                .collect(),
+            entry_ttl_ms: numbers.0,
+            body_limit: numbers.1,
+            key_limit: numbers.2,
+            key_ttl_ms,
+        })
+}
+
+/// Fails unless every fault points into the text or just past its end.
+fn check_places(text: &str, error: &SettingsError) -> Result<(), TestCaseError> {
+    prop_assert!(!error.faults.is_empty());
+    let lines: Vec<_> = text.split('\n').collect();
+    for fault in &error.faults {
+        let line = lines.get(fault.line.wrapping_sub(1));
+        let Some(line) = line else {
+            return Err(TestCaseError::fail(format!("no such line: {fault}")));
+        };
+        let length = line.chars().count();
+        prop_assert!((1..=length + 1).contains(&fault.column), "{fault}");
+    }
+    Ok(())
+}
+
+proptest! {
+    #[test]
+    fn faults_of_any_text_point_into_it(text in prop_oneof![broken_text(), ".{0,200}"]) {
+        if let Err(error) = read_document("ledger.json", &text) {
+            check_places(&text, &error)?;
+        }
+        if let Err(error) = read_gate_settings("gate.json", &text) {
+            check_places(&text, &error)?;
+        }
+    }
+
+    #[test]
+    fn a_document_with_one_byte_changed_never_panics(
+        document in document(), place in any::<prop::sample::Index>(), with in any::<char>(),
+    ) {
+        let mut symbols: Vec<char> = print_document(&document).chars().collect();
+        let place = place.index(symbols.len());
+        symbols[place] = with;
+        let text: String = symbols.into_iter().collect();
+        if let Err(error) = read_document("ledger.json", &text) {
+            check_places(&text, &error)?;
+        }
+    }
+
+    #[test]
+    fn a_printed_document_reads_as_itself(document in document()) {
+        let text = print_document(&document);
+        prop_assert_eq!(read_document("ledger.json", &text), Ok(document));
+    }
+
+    #[test]
+    fn printed_settings_read_as_themselves(settings in settings()) {
+        let text = print_gate_settings(&settings);
+        prop_assert_eq!(read_gate_settings("gate.json", &text), Ok(settings));
+    }
+}
+
+#[test]
+fn deep_nesting_is_a_fault() {
+    let text = "[".repeat(100_000);
+    let error = read_document("ledger.json", &text).unwrap_err();
+    assert_eq!(error.faults.len(), 1);
+}
