Choose servers by signals in the gate; count attempts started on a given server

Cause: the chooser's table replaced the list that start_on was written against. Change: start_on in both choosers; the gate builds a SignalChooser with the document's ejection cap.

--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -8,7 +8,7 @@
 use foldhash::{HashMap, HashMapExt};
 use ggs_model::{BootClock, GateId, ServerEntry, ServiceName, VersionedDocument};
 use ggs_observe::{EventLog, GateMetrics};
-use ggs_pick::{LeastInFlight, ServerChooser, ServerSeed};
+use ggs_pick::{ServerChooser, ServerSeed, SignalChooser};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_settings::GateSettings;
 
@@ -16,7 +16,7 @@
 use crate::transport::GateTransport;
 
 /// The policy that gates use.
-pub(crate) type GateChooser = LeastInFlight;
+pub(crate) type GateChooser = SignalChooser;
 
 /// State of one gate.
 #[derive(Debug)]
@@ -101,9 +101,13 @@
             return true;
         }
         let retries = RetryShare::new(versioned.document.retry_percent);
+        let chooser = SignalChooser::builder()
+            .seed(rand::random())
+            .eject_percent(versioned.document.eject_percent)
+            .build();
         let service = Rc::new(ServiceCore {
             document: RefCell::new(versioned),
-            chooser: Rc::new(RefCell::new(GateChooser::new())),
+            chooser: Rc::new(RefCell::new(chooser)),
             retries: RefCell::new(retries),
         });
         self.refresh_servers(&service);
--- a/crates/pick/src/least.rs
+++ b/crates/pick/src/least.rs
@@ -42,11 +42,11 @@
     }
 
     fn start_on(&mut self, slot: ServerSlot, _class: RequestClass, _now: Moment) -> bool {
-        let Some(entry) = self.entry(slot).filter(|entry| entry.open) else {
-            return false;
-        };
-        entry.in_flight += 1;
-        true
+        let open = self.servers.get(slot).is_some_and(|entry| entry.open);
+        if open {
+            self.servers.start(slot.index as usize);
+        }
+        open
     }
 
     fn finish(&mut self, end: &AttemptEnd, _now: Moment) {
--- a/crates/pick/src/signal_chooser.rs
+++ b/crates/pick/src/signal_chooser.rs
@@ -200,6 +200,22 @@
         late.then(|| retry_after(expected - left))
     }
 
+    /// Counts an attempt as started at a position.
+    fn start_at(&mut self, index: usize, class: RequestClass, view: &ServiceView) -> ServerSlot {
+        let entry = &mut self.servers.entries_mut()[index];
+        let signals = &mut entry.value;
+        if class == RequestClass::Export {
+            signals.exports += 1;
+        } else {
+            let in_flight = f64::from(entry.in_flight) + signals.others(view);
+            signals.attempts.start(OpenAttempt {
+                started: view.now,
+                expected: signals.expected(in_flight),
+            });
+        }
+        self.servers.start(index)
+    }
+
     /// Takes the elapsed time of a whole answer into the means and the server's slowness.
     fn observe(&mut self, end: &AttemptEnd, now: Moment) {
         let view = self.view(end.class, now);
@@ -300,18 +316,16 @@
             return Err(ChoiceRefusal::NoCapacity { retry_after });
         }
         self.last_choice = Some(now);
-        let entry = &mut self.servers.entries_mut()[best.index];
-        let signals = &mut entry.value;
-        if request.class == RequestClass::Export {
-            signals.exports += 1;
-        } else {
-            let in_flight = f64::from(entry.in_flight) + signals.others(&view);
-            signals.attempts.start(OpenAttempt {
-                started: now,
-                expected: signals.expected(in_flight),
-            });
+        Ok(self.start_at(best.index, request.class, &view))
+    }
+
+    fn start_on(&mut self, slot: ServerSlot, class: RequestClass, now: Moment) -> bool {
+        let open = self.servers.get(slot).is_some_and(|entry| entry.open);
+        if open {
+            let view = self.view(class, now);
+            self.start_at(slot.index as usize, class, &view);
         }
-        Ok(self.servers.start(best.index))
+        open
     }
 
     fn finish(&mut self, end: &AttemptEnd, now: Moment) {
