Add retry allowances and admission limits

Ruled out: one allowance for each hop (shares of 24 hops add up to 3.4 attempts a call at 10%); a breaker on the failure share (calls that always fail are retried at every hop); retries by the outermost gate alone (a broken connection far in would repeat the whole chain).

The outermost gate may retry 10% of its answered calls, gates further in 0.4%, and a call that is being retried earns and spends nothing. The sum is 1 + 0.1 + 23 * 0.004 = 1.192.

Plain retries make 4,096 attempts at 12 hops.

--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,1 +1,14 @@
 //! Retry allowances and admission limits per partner and class.
+//!
+//! [`RetryAllowance`] bounds the attempts that retries add along a chain of calls.
+//! [`AdmissionLimits`] bounds the requests in flight at one gate, so that one partner's flood or one
+//! class of request leaves room for the others. Both are plain counters: they read no clock and do
+//! no I/O.
+
+mod admission;
+mod retry;
+
+pub use admission::{
+    AdmissionLimits, EntryPass, EntryRefusal, EntryRequest, GateCapacity, RefusalCause,
+};
+pub use retry::{CallPlace, RetryAllowance};
