Admit requests by limits and pay retries from the allowance

Cause: retries and admission had provisional parts in the gate. Change: the relay takes the place of a request in its chain of calls and tells servers the retry count; the gate admits by service, partner and total before it reads a body.

--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -4,6 +4,7 @@
 
 use actix_http::header::{HeaderName, HeaderValue};
 use actix_http::{Response, StatusCode};
+use ggs_limit::{EntryRefusal, RefusalCause};
 use ggs_model::{HeaderNames, RunVerdict};
 use ggs_relay::{FailureKind, RelayFailure};
 use serde::Serialize;
@@ -38,8 +39,6 @@
     BodyIncomplete,
     /// The body is longer than the gate's limit.
     BodyTooLong,
-    /// The deadline passed before the request was whole.
-    DeadlinePassed,
 }
 
 impl CallerFault {
@@ -49,7 +48,6 @@
             Self::UnknownPath | Self::UnknownService => StatusCode::NOT_FOUND,
             Self::BadMethod => StatusCode::METHOD_NOT_ALLOWED,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
-            Self::DeadlinePassed => StatusCode::SERVICE_UNAVAILABLE,
             Self::BadClass
             | Self::BadDeadline
             | Self::BadAttempt
@@ -102,6 +100,22 @@
     failure(fault.status(), RunVerdict::NotRun, fault.into(), wait)
 }
 
+/// The answer to a request that was not admitted.
+pub(crate) fn entry_refusal(refusal: &EntryRefusal) -> Response<GateBody> {
+    let reason = match refusal.cause {
+        RefusalCause::ServiceClass => "service-limit",
+        RefusalCause::PartnerShare => "partner-limit",
+        RefusalCause::GateTotal => "gate-limit",
+    };
+    let wait = Some(refusal.retry_after);
+    failure(
+        StatusCode::SERVICE_UNAVAILABLE,
+        RunVerdict::NotRun,
+        reason,
+        wait,
+    )
+}
+
 /// The answer to a request that the relay gave up on.
 pub(crate) fn relay_failure(failure_found: &RelayFailure) -> Response<GateBody> {
     let RelayFailure {
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -10,7 +10,7 @@
 use ggs_relay::{AttemptHold, BodyError, RelayBody};
 
 use crate::core::GateChooser;
-use crate::forward::RequestSpan;
+use crate::span::RequestSpan;
 
 /// The body of an answer to a caller.
 #[derive(Debug)]
@@ -70,7 +70,7 @@
                 let polled = Pin::new(&mut streamed.body).poll_next(context);
                 if matches!(polled, Poll::Ready(Some(Err(_)))) {
                     streamed.hold.set_outcome(AttemptOutcome::Failed);
-                    streamed.span.set_cut();
+                    streamed.span.set_verdict("cut");
                 }
                 polled
             }
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -5,19 +5,22 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use foldhash::{HashMap, HashMapExt};
+use foldhash::{HashMap, HashMapExt, HashSet};
+use ggs_limit::{AdmissionLimits, GateCapacity, RetryAllowance};
 use ggs_model::{BootClock, GateId, ServerEntry, ServiceName, VersionedDocument};
 use ggs_observe::{EventLog, GateMetrics};
 use ggs_pick::{ServerChooser, ServerSeed, SignalChooser};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_settings::GateSettings;
 
-use crate::retries::RetryShare;
 use crate::transport::GateTransport;
 
 /// The policy that gates use.
 pub(crate) type GateChooser = SignalChooser;
 
+/// Requests in flight at one gate.
+const TOTAL_LIMIT: u32 = 2_048;
+
 /// State of one gate.
 #[derive(Debug)]
 pub(crate) struct GateCore {
@@ -33,6 +36,8 @@
     pub(crate) metrics: GateMetrics,
     /// Makes attempts at servers.
     pub(crate) transport: GateTransport,
+    /// Admits requests.
+    pub(crate) limits: RefCell<AdmissionLimits>,
     /// Services by name.
     services: RefCell<HashMap<ServiceName, Rc<ServiceCore>>>,
     /// The latest host list.
@@ -51,7 +56,7 @@
     /// Chooses servers.
     pub(crate) chooser: Rc<RefCell<GateChooser>>,
     /// Grants retries.
-    pub(crate) retries: RefCell<RetryShare>,
+    pub(crate) retries: RefCell<RetryAllowance>,
 }
 
 impl ServiceCore {
@@ -73,6 +78,10 @@
             log,
             metrics: GateMetrics::new(),
             transport: GateTransport::new(pool),
+            limits: RefCell::new(AdmissionLimits::new(GateCapacity {
+                total: TOTAL_LIMIT,
+                partners: 1,
+            })),
             services: RefCell::new(HashMap::new()),
             listed: RefCell::new(Vec::new()),
             draining: Cell::new(false),
@@ -100,7 +109,7 @@
             self.refresh_servers(&service);
             return true;
         }
-        let retries = RetryShare::new(versioned.document.retry_percent);
+        let retries = RetryAllowance::new(versioned.document.retry_percent);
         let chooser = SignalChooser::builder()
             .seed(rand::random())
             .eject_percent(versioned.document.eject_percent)
@@ -112,9 +121,24 @@
         });
         self.refresh_servers(&service);
         self.services.borrow_mut().insert(name, service);
+        self.refresh_capacity();
         true
     }
 
+    /// Tells the admission limits how many partners share the gate.
+    fn refresh_capacity(&self) {
+        let services = self.services.borrow();
+        let partners: HashSet<_> = services
+            .values()
+            .map(|service| service.document().document.partner.clone())
+            .collect();
+        let capacity = GateCapacity {
+            total: TOTAL_LIMIT,
+            partners: partners.len() as u32,
+        };
+        self.limits.borrow_mut().set_capacity(capacity);
+    }
+
     /// Takes a new host list.
     pub(crate) fn set_listed(&self, listed: Vec<ServerEntry>) {
         *self.listed.borrow_mut() = listed;
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -4,71 +4,19 @@
 
 use actix_http::header::HeaderMap;
 use actix_http::{Request, Response, StatusCode};
-use ggs_model::{Clock, HeaderNames, Moment, RequestClass, RunVerdict};
-use ggs_observe::RequestLabels;
+use ggs_model::{Clock, HeaderNames, RunVerdict};
 use ggs_relay::{AnswerBody, RelayAnswer, RelayBody, RelayFailure, RelayLoop, RelayRequest};
 
 use crate::answer::{self, CallerFault};
 use crate::body::{GateBody, StreamedBody};
 use crate::core::{GateChooser, GateCore, ServiceCore};
-use crate::request::{self, CallerTerms, ServiceRequest};
+use crate::request::{self, RequestTerms, ServiceRequest};
+use crate::span::RequestSpan;
 
 /// The result of relaying a request.
 pub(crate) type RelayResult =
     Result<RelayAnswer<RelayBody, GateChooser, ggs_model::BootClock>, RelayFailure>;
 
-/// Counts one request from its head to the end of its answer.
-#[derive(Debug)]
-pub(crate) struct RequestSpan {
-    core: Rc<GateCore>,
-    labels: RequestLabels,
-    came: Moment,
-}
-
-impl RequestSpan {
-    /// Starts to count a request that came at `came`.
-    pub(crate) fn new(
-        core: &Rc<GateCore>,
-        partner: &str,
-        class: RequestClass,
-        came: Moment,
-    ) -> Self {
-        core.metrics.in_flight.inc();
-        let labels = RequestLabels {
-            partner: partner.to_owned(),
-            class: class.into(),
-            verdict: "unknown",
-        };
-        Self {
-            core: Rc::clone(core),
-            labels,
-            came,
-        }
-    }
-
-    /// Notes what became of the request.
-    pub(crate) fn set_verdict(&mut self, verdict: &'static str) {
-        self.labels.verdict = verdict;
-    }
-
-    /// Notes that the answer was cut after its head.
-    pub(crate) fn set_cut(&mut self) {
-        self.labels.verdict = "cut";
-    }
-}
-
-impl Drop for RequestSpan {
-    fn drop(&mut self) {
-        let elapsed = self.core.clock.now().since(self.came);
-        let metrics = &self.core.metrics;
-        metrics
-            .latency
-            .get_or_create(&self.labels)
-            .observe(elapsed.as_secs_f64());
-        metrics.in_flight.dec();
-    }
-}
-
 /// Serves `/s/{service}/…`.
 pub(crate) async fn serve(
     core: &Rc<GateCore>,
@@ -86,13 +34,21 @@
         target,
         headers: &request.head().headers,
     };
-    let prepared = prepare(core, &service, &head, payload, came).await;
-    let prepared = match prepared {
-        Ok(prepared) => prepared,
+    let document = service.document().document;
+    let terms = match RequestTerms::read(&document, &head, came) {
+        Ok(terms) => terms,
+        Err(fault) => return answer::fault(fault),
+    };
+    let mut span = match RequestSpan::enter(core, &document, terms.class, came) {
+        Ok(span) => span,
+        Err(refusal) => return answer::entry_refusal(&refusal),
+    };
+    let time = terms.deadline.since(came);
+    let body = match request::read_body(payload, core.settings.body_limit, time).await {
+        Ok(body) => body,
         Err(fault) => return answer::fault(fault),
     };
-    let partner = service.document().document.partner.clone();
-    let mut span = RequestSpan::new(core, partner.as_str(), prepared.class, came);
+    let prepared = terms.into_request(&document, &head, body);
     match relay(core, &service, &prepared).await {
         Ok(relayed) => answered(relayed, &prepared, span),
         Err(failure) => {
@@ -102,23 +58,6 @@
     }
 }
 
-/// Checks a request and reads its body.
-async fn prepare(
-    core: &GateCore,
-    service: &ServiceCore,
-    head: &ServiceRequest<'_>,
-    payload: actix_http::Payload,
-    came: Moment,
-) -> Result<RelayRequest, CallerFault> {
-    let document = service.document().document;
-    let terms = CallerTerms::read(head.headers)?;
-    let time = terms
-        .deadline
-        .unwrap_or_else(|| document.default_deadline(terms.class));
-    let body = request::read_body(payload, core.settings.body_limit, time).await?;
-    request::prepare(core, &document, head, terms, body, came)
-}
-
 /// Relays a prepared request to a server.
 pub(crate) async fn relay(
     core: &GateCore,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -14,8 +14,8 @@
 mod handle;
 mod listen;
 mod request;
-mod retries;
 mod route;
+mod span;
 mod transport;
 mod upstream;
 
--- a/crates/gate/src/request.rs
+++ b/crates/gate/src/request.rs
@@ -2,16 +2,16 @@
 
 use std::time::Duration;
 
-use actix_http::header::{HeaderMap, HeaderName};
+use actix_http::header::HeaderMap;
 use actix_http::{Method, Payload, Uri};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
-use ggs_model::{Clock, HeaderNames, Moment, RequestClass, ServiceDocument};
+use ggs_limit::CallPlace;
+use ggs_model::{HeaderNames, Moment, RequestClass, ServiceDocument};
 use ggs_relay::{BodyWatch, RelayRequest};
 use tokio::time::timeout;
 
 use crate::answer::CallerFault;
-use crate::core::GateCore;
 
 /// Longest deadline that a caller may ask for, in milliseconds.
 const DEADLINE_LIMIT_MS: u64 = 3_600_000;
@@ -38,8 +38,8 @@
     pub(crate) class: RequestClass,
     /// Time to answer, if the caller named one.
     pub(crate) deadline: Option<Duration>,
-    /// Retries that outer hops have made.
-    pub(crate) attempt: Option<u32>,
+    /// Where in a chain of calls the request reached this gate.
+    pub(crate) place: CallPlace,
 }
 
 impl CallerTerms {
@@ -53,14 +53,15 @@
             None => None,
             Some(text) => Some(read_deadline(text)?),
         };
-        let attempt = match text_of(headers, HeaderNames::ATTEMPT)? {
-            None => None,
-            Some(text) => Some(text.parse().map_err(|_| CallerFault::BadAttempt)?),
-        };
+        let attempt = text_of(headers, HeaderNames::ATTEMPT)?;
+        if attempt.is_some_and(|text| text.parse::<u32>().is_err()) {
+            return Err(CallerFault::BadAttempt);
+        }
+        let place = CallPlace::from_header(attempt);
         Ok(Self {
             class,
             deadline,
-            attempt,
+            place,
         })
     }
 }
@@ -93,45 +94,67 @@
     pub(crate) headers: &'a HeaderMap,
 }
 
-/// Checks a request against its service's document and gives it its class and deadline.
-pub(crate) fn prepare(
-    core: &GateCore,
-    document: &ServiceDocument,
-    request: &ServiceRequest<'_>,
-    terms: CallerTerms,
-    body: Bytes,
-    came: Moment,
-) -> Result<RelayRequest, CallerFault> {
-    let path = request.target.split('?').next().unwrap_or(request.target);
-    let class = document.class_of(request.method.as_str(), path, terms.class);
-    let idempotent = !document.is_non_idempotent(request.method.as_str(), path);
-    let target: Uri = request.target.parse().map_err(|_| CallerFault::BadTarget)?;
-    let length = terms
-        .deadline
-        .unwrap_or_else(|| document.default_deadline(class));
-    let watch = match class {
-        RequestClass::Export => BodyWatch::Progress(document.default_deadline(class)),
-        RequestClass::Urgent | RequestClass::Standard => BodyWatch::Deadline,
-    };
-    let mut headers = end_to_end(request.headers);
-    let name = HeaderName::from_static(HeaderNames::ATTEMPT);
-    headers.insert(name, terms.attempt.unwrap_or(0).into());
-    let request = RelayRequest {
-        method: request.method.clone(),
-        target,
-        headers,
-        body,
-        class,
-        idempotent,
-        may_retry: terms.attempt.is_none(),
-        deadline: came + length,
-        watch,
-        trust_refusals: document.trust_refusals,
-    };
-    if core.clock.now() >= request.deadline {
-        return Err(CallerFault::DeadlinePassed);
+/// What a request's head asks for, checked against its service's document.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestTerms {
+    /// Path and query at the server.
+    target: Uri,
+    /// Class.
+    pub(crate) class: RequestClass,
+    /// Whether the request may be sent again after it may have run.
+    pub(crate) idempotent: bool,
+    /// The latest moment for an answer.
+    pub(crate) deadline: Moment,
+    /// Where in a chain of calls the request reached this gate.
+    place: CallPlace,
+}
+
+impl RequestTerms {
+    /// Checks the head of a request that came at `came`.
+    pub(crate) fn read(
+        document: &ServiceDocument,
+        request: &ServiceRequest<'_>,
+        came: Moment,
+    ) -> Result<Self, CallerFault> {
+        let asked = CallerTerms::read(request.headers)?;
+        let path = request.target.split('?').next().unwrap_or(request.target);
+        let method = request.method.as_str();
+        let class = document.class_of(method, path, asked.class);
+        let length = asked.deadline;
+        let length = length.unwrap_or_else(|| document.default_deadline(class));
+        Ok(Self {
+            target: request.target.parse().map_err(|_| CallerFault::BadTarget)?,
+            class,
+            idempotent: !document.is_non_idempotent(method, path),
+            deadline: came + length,
+            place: asked.place,
+        })
+    }
+
+    /// The request with its body, ready for the relay.
+    pub(crate) fn into_request(
+        self,
+        document: &ServiceDocument,
+        request: &ServiceRequest<'_>,
+        body: Bytes,
+    ) -> RelayRequest {
+        let watch = match self.class {
+            RequestClass::Export => BodyWatch::Progress(document.default_deadline(self.class)),
+            RequestClass::Urgent | RequestClass::Standard => BodyWatch::Deadline,
+        };
+        RelayRequest {
+            method: request.method.clone(),
+            target: self.target,
+            headers: end_to_end(request.headers),
+            body,
+            class: self.class,
+            idempotent: self.idempotent,
+            place: self.place,
+            deadline: self.deadline,
+            watch,
+            trust_refusals: document.trust_refusals,
+        }
     }
-    Ok(request)
 }
 
 /// The headers that are passed on.
--- /dev/null
+++ b/crates/gate/src/span.rs
@@ -0,0 +1,66 @@
+//! One request of a caller, from its admission to the end of its answer.
+
+use std::rc::Rc;
+
+use ggs_limit::{EntryPass, EntryRefusal, EntryRequest};
+use ggs_model::{Clock, Moment, RequestClass, ServiceDocument};
+use ggs_observe::RequestLabels;
+
+use crate::core::GateCore;
+
+/// Keeps a request admitted and measures it; ends when dropped.
+#[derive(Debug)]
+pub(crate) struct RequestSpan {
+    core: Rc<GateCore>,
+    pass: Option<EntryPass>,
+    labels: RequestLabels,
+    came: Moment,
+}
+
+impl RequestSpan {
+    /// Admits a request that came at `came`.
+    pub(crate) fn enter(
+        core: &Rc<GateCore>,
+        document: &ServiceDocument,
+        class: RequestClass,
+        came: Moment,
+    ) -> Result<Self, EntryRefusal> {
+        let request = EntryRequest {
+            service: &document.service,
+            partner: &document.partner,
+            class,
+            limits: &document.in_flight,
+        };
+        let pass = core.limits.borrow_mut().enter(&request)?;
+        core.metrics.in_flight.inc();
+        let labels = RequestLabels {
+            partner: document.partner.as_str().to_owned(),
+            class: class.into(),
+            verdict: "not-run",
+        };
+        Ok(Self {
+            core: Rc::clone(core),
+            pass: Some(pass),
+            labels,
+            came,
+        })
+    }
+
+    /// Notes what became of the request.
+    pub(crate) fn set_verdict(&mut self, verdict: &'static str) {
+        self.labels.verdict = verdict;
+    }
+}
+
+impl Drop for RequestSpan {
+    fn drop(&mut self) {
+        let elapsed = self.core.clock.now().since(self.came);
+        let metrics = &self.core.metrics;
+        let latency = metrics.latency.get_or_create(&self.labels);
+        latency.observe(elapsed.as_secs_f64());
+        metrics.in_flight.dec();
+        if let Some(pass) = self.pass.take() {
+            self.core.limits.borrow_mut().leave(pass);
+        }
+    }
+}
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -46,6 +46,17 @@
     pub(crate) idle_since: Option<Moment>,
 }
 
+/// What a server is told of one attempt.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct AttemptLabel {
+    /// Number of the attempt at this gate.
+    pub(crate) id: u64,
+    /// Retries of the call that the attempt stands for.
+    pub(crate) retry: u32,
+    /// Time left to answer.
+    pub(crate) remaining: Duration,
+}
+
 /// The start of an answer.
 #[derive(Debug)]
 pub(crate) struct AnswerStart {
@@ -90,14 +101,13 @@
         waits && self.framed.read_buffer().is_empty()
     }
 
-    /// Sends a request as attempt `id` and reads the start of its answer.
+    /// Sends a request as one attempt and reads the start of its answer.
     ///
     /// Once this has been called the request counts as sent.
     pub(crate) async fn exchange(
         &mut self,
         request: &RelayRequest,
-        id: u64,
-        remaining: Duration,
+        label: &AttemptLabel,
     ) -> Result<AnswerStart, AttemptFailure> {
         let reused = self.is_reused();
         let fail = |kind| AttemptFailure {
@@ -105,7 +115,7 @@
             sent: true,
             reused,
         };
-        self.send(request, id, remaining)
+        self.send(request, label)
             .await
             .map_err(|_| fail(FailureKind::ConnectionLost))?;
         let head = match self.framed.next().await {
@@ -117,7 +127,7 @@
         };
         let codec = self.framed.codec();
         let echoed = head.headers.get(HeaderNames::REQUEST_ID);
-        let owned = echoed.map(|value| value.as_bytes() == id.to_string().as_bytes());
+        let owned = echoed.map(|value| value.as_bytes() == label.id.to_string().as_bytes());
         let unbounded = codec.message_type() == MessageType::Stream;
         if owned == Some(false) || unbounded || head.status.is_informational() {
             return Err(fail(FailureKind::BadAnswer));
@@ -132,19 +142,15 @@
     }
 
     /// Writes the head and the body of a request.
-    async fn send(
-        &mut self,
-        request: &RelayRequest,
-        id: u64,
-        remaining: Duration,
-    ) -> io::Result<()> {
+    async fn send(&mut self, request: &RelayRequest, label: &AttemptLabel) -> io::Result<()> {
         let mut head = RequestHead::default();
         head.method = request.method.clone();
         head.uri = request.target.clone();
         head.headers = request.headers.clone();
-        let deadline = remaining.as_millis() as u64;
+        let deadline = label.remaining.as_millis() as u64;
         insert_number(&mut head, HeaderNames::DEADLINE, deadline);
-        insert_number(&mut head, HeaderNames::REQUEST_ID, id);
+        insert_number(&mut head, HeaderNames::REQUEST_ID, label.id);
+        insert_number(&mut head, HeaderNames::ATTEMPT, u64::from(label.retry));
         let size = body_size(&request.body, &request.method);
         let head = RequestHeadType::Owned(head);
         self.framed.feed(Message::Item((head, size))).await?;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
+use ggs_limit::{CallPlace, RetryAllowance};
 use ggs_model::{Clock, HeaderNames, LoadReport, Moment, RequestClass, RunVerdict};
 use ggs_pick::{
     AttemptEnd, AttemptOutcome, ChoiceRefusal, ChoiceRequest, ServerChooser, ServerSlot,
@@ -24,11 +25,21 @@
 
 /// A bounded supply of retries.
 pub trait RetrySource {
-    /// Takes one retry if one is left.
-    fn try_take(&mut self, now: Moment) -> bool;
+    /// Takes one retry if one is left for requests that came to this place.
+    fn try_take(&mut self, place: CallPlace) -> bool;
 
     /// Notes an answered request, which earns part of a retry.
-    fn answered(&mut self, now: Moment);
+    fn answered(&mut self, place: CallPlace);
+}
+
+impl RetrySource for RetryAllowance {
+    fn try_take(&mut self, place: CallPlace) -> bool {
+        self.take(place)
+    }
+
+    fn answered(&mut self, place: CallPlace) {
+        Self::answered(self, place);
+    }
 }
 
 /// An attempt that the chooser counts as in flight; ends when dropped.
@@ -218,7 +229,7 @@
 
     /// Plans the next attempt: all but the last possible one leave time for another.
     fn plan(&self, request: &RelayRequest, state: &LoopState) -> AttemptPlan {
-        let repeatable = request.idempotent && request.may_retry;
+        let repeatable = request.idempotent && request.may_retry();
         let last = !repeatable || state.attempts >= MAX_ATTEMPTS;
         let now = self.clock.now();
         let remaining = request.deadline.since(now);
@@ -229,10 +240,13 @@
         };
         // A request that may not be repeated never risks a connection that the path has lost, and a
         // retry does not either.
+        let earlier = u32::from(request.place == CallPlace::Retried);
+        let retry = earlier + state.attempts - 1;
         let fresh = !request.idempotent || state.attempts > 1;
         AttemptPlan {
             fresh,
             answer_by: now + limit,
+            retry,
         }
     }
 
@@ -270,17 +284,17 @@
             }
             return Ok(RelayAnswer { answer, hold });
         }
-        self.retries.borrow_mut().answered(now);
+        self.retries.borrow_mut().answered(request.place);
         hold.set_outcome(AttemptOutcome::Answered);
         Ok(RelayAnswer { answer, hold })
     }
 
     /// Whether an error answer may be replaced by another attempt; takes the retry.
     fn may_replace(&self, request: &RelayRequest, state: &LoopState) -> bool {
-        let repeatable = request.idempotent && request.may_retry;
+        let repeatable = request.idempotent && request.may_retry();
         let now = self.clock.now();
         let open = state.attempts < MAX_ATTEMPTS && now < request.deadline;
-        repeatable && open && self.retries.borrow_mut().try_take(now)
+        repeatable && open && self.retries.borrow_mut().try_take(request.place)
     }
 
     /// Decides whether another attempt follows.
@@ -296,7 +310,7 @@
             failure,
             attempts: state.attempts,
             idempotent: request.idempotent,
-            may_retry: request.may_retry,
+            may_retry: request.may_retry(),
             late: now >= request.deadline,
         };
         let final_failure = state.failure(failure.kind, RETRY_AFTER);
@@ -307,7 +321,7 @@
         };
         // The retry for an error answer was taken when the answer was turned down.
         let paid = failure.kind == FailureKind::ServerError;
-        if costs_retry && !paid && !self.retries.borrow_mut().try_take(now) {
+        if costs_retry && !paid && !self.retries.borrow_mut().try_take(request.place) {
             return Err(final_failure);
         }
         if same {
--- a/crates/relay/src/request.rs
+++ b/crates/relay/src/request.rs
@@ -6,6 +6,7 @@
 use actix_http::Uri;
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
+use ggs_limit::CallPlace;
 use ggs_model::{Moment, RequestClass};
 
 /// How the body of an answer is watched.
@@ -32,8 +33,8 @@
     pub class: RequestClass,
     /// Whether the request may be sent again after it may have run.
     pub idempotent: bool,
-    /// Whether this hop may retry after a server may have worked on the request.
-    pub may_retry: bool,
+    /// Where in a chain of calls the request reached this gate.
+    pub place: CallPlace,
     /// The latest moment for the answer's first byte, and for its last unless `watch` says otherwise.
     pub deadline: Moment,
     /// How the answer's body is watched.
@@ -41,3 +42,10 @@
     /// Whether an answer with the refusal header promises that the request did not run.
     pub trust_refusals: bool,
 }
+
+impl RelayRequest {
+    /// Whether this gate may retry after a server may have worked on the request.
+    pub fn may_retry(&self) -> bool {
+        self.place != CallPlace::Retried
+    }
+}
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -11,6 +11,7 @@
 use ggs_model::{BootClock, Clock, Moment, ServerId};
 use tokio::time::timeout;
 
+use crate::connection::AttemptLabel;
 use crate::{
     AttemptFailure, BodyWatch, ConnectionPool, FailureKind, RelayBody, RelayRequest,
     ServerConnection,
@@ -29,6 +30,8 @@
     pub fresh: bool,
     /// The latest moment for the answer's first byte.
     pub answer_by: Moment,
+    /// Retries of the call that this attempt stands for, as the server is told.
+    pub retry: u32,
 }
 
 /// An answer whose head has come.
@@ -111,7 +114,16 @@
         let reused = connection.is_reused();
         stage.set(AttemptStage { sent: true, reused });
         let id = self.next_id.replace(self.next_id.get() + 1);
-        let start = connection.exchange(request, id, remaining).await?;
+        let start = connection
+            .exchange(
+                request,
+                &AttemptLabel {
+                    id,
+                    retry: plan.retry,
+                    remaining,
+                },
+            )
+            .await?;
         let head = start.head;
         let size = announced_size(&head, start.has_body);
         let progress = match request.watch {
--- a/crates/relay/tests/relay_loop.rs
+++ b/crates/relay/tests/relay_loop.rs
@@ -10,9 +10,8 @@
 use actix_http::header::{HeaderMap, HeaderName};
 use actix_http::{Method, ResponseHead, StatusCode};
 use bytes::Bytes;
-use ggs_model::{
-    Clock, HeaderNames, Incarnation, ManualClock, Moment, RequestClass, RunVerdict, ServerId,
-};
+use ggs_limit::CallPlace;
+use ggs_model::{Clock, HeaderNames, Incarnation, ManualClock, RequestClass, RunVerdict, ServerId};
 use ggs_pick::{LeastInFlight, ServerChooser, ServerSeed};
 use ggs_relay::{
     AnswerBody, AttemptFailure, AttemptPlan, BodyError, BodyWatch, FailureKind, RelayLoop,
@@ -115,13 +114,13 @@
 struct FixedRetries(u32);
 
 impl RetrySource for FixedRetries {
-    fn try_take(&mut self, _now: Moment) -> bool {
+    fn try_take(&mut self, _place: CallPlace) -> bool {
         let left = self.0.checked_sub(1);
         self.0 = left.unwrap_or(0);
         left.is_some()
     }
 
-    fn answered(&mut self, _now: Moment) {}
+    fn answered(&mut self, _place: CallPlace) {}
 }
 
 /// What became of one request.
@@ -170,7 +169,7 @@
         body: Bytes::new(),
         class: RequestClass::Urgent,
         idempotent,
-        may_retry: true,
+        place: CallPlace::Outermost,
         deadline: clock.now() + Duration::from_secs(1),
         watch: BodyWatch::Deadline,
         trust_refusals: true,
