--- /dev/null
+++ b/crates/observe/src/labels.rs
@@ -0,0 +1,78 @@
+//! Label sets of the metrics.
+
+use std::hash::Hash;
+
+use ggs_model::{PartnerName, ServiceName};
+use prometheus_client::encoding::{EncodeLabelSet, EncodeLabelValue, LabelValueEncoder};
+
+/// Declares a label value that shares the text of a name, so that a clone allocates nothing.
+macro_rules! name_label {
+    ($(#[$doc:meta])* $label:ident, $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, Hash)]
+        pub(crate) struct $label(pub(crate) $name);
+
+        impl EncodeLabelValue for $label {
+            fn encode(&self, encoder: &mut LabelValueEncoder<'_>) -> Result<(), std::fmt::Error> {
+                EncodeLabelValue::encode(&self.0.as_str(), encoder)
+            }
+        }
+    };
+}
+
+name_label!(
+    /// A partner as a label.
+    PartnerLabel,
+    PartnerName
+);
+name_label!(
+    /// A service as a label.
+    ServiceLabel,
+    ServiceName
+);
+
+/// Labels of request metrics.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RequestLabels {
+    /// Partner that owns the service.
+    pub partner: String,
+    /// Class of the request.
+    pub class: &'static str,
+    /// What became of the request: `ran`, `not-run`, `unknown` or `cut`.
+    pub verdict: &'static str,
+}
+
+/// Labels of metrics of one service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ServiceLabels {
+    pub(crate) partner: PartnerLabel,
+    pub(crate) service: ServiceLabel,
+}
+
+/// Labels of refused requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct ReasonLabels {
+    pub(crate) partner: PartnerLabel,
+    pub(crate) service: ServiceLabel,
+    pub(crate) reason: &'static str,
+}
+
+/// Labels of attempts at servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct OutcomeLabels {
+    pub(crate) partner: PartnerLabel,
+    pub(crate) service: ServiceLabel,
+    pub(crate) outcome: &'static str,
+}
+
+/// Labels of platform calls.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct CallLabels {
+    pub(crate) call: &'static str,
+}
+
+/// Labels of traffic between gates.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub(crate) struct DirectionLabels {
+    pub(crate) direction: &'static str,
+}
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -1,9 +1,13 @@
 //! Numbered log events and metrics.
 
 mod event;
+mod labels;
 mod log;
 mod metrics;
+mod service;
 
 pub use event::{LogEvent, LogLevel};
+pub use labels::RequestLabels;
 pub use log::{EventLog, LogFormat};
-pub use metrics::{GateMetrics, RequestLabels};
+pub use metrics::GateMetrics;
+pub use service::ServiceMetrics;
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -1,6 +1,10 @@
-//! Metrics of a gate in the Prometheus text format.
+//! Metrics of a gate in the OpenMetrics text format.
+//!
+//! A [`GateMetrics`] holds every family; a [`ServiceMetrics`] holds one service's members of them.
 
-use prometheus_client::encoding::EncodeLabelSet;
+use std::sync::atomic::AtomicU64;
+
+use ggs_model::{PartnerName, ServiceName};
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -8,40 +12,57 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::labels::{
+    CallLabels, DirectionLabels, OutcomeLabels, PartnerLabel, ReasonLabels, RequestLabels,
+    ServiceLabel, ServiceLabels,
+};
+use crate::service::{HandleCache, ServiceMetrics};
+
 /// Upper bounds of the latency buckets, in seconds.
-const LATENCY_BUCKETS: [f64; 16] = [
-    0.0005, 0.001, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.02, 0.03, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0,
-    30.0,
+const LATENCY_BUCKETS: [f64; 20] = [
+    0.0005, 0.001, 0.0015, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.02, 0.03, 0.05, 0.1, 0.25,
+    0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
 ];
 
-/// Labels of request metrics.
-#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-pub struct RequestLabels {
-    /// Partner that owns the service.
-    pub partner: String,
-    /// Class of the request.
-    pub class: &'static str,
-    /// `ok`, or the verdict of a failure.
-    pub verdict: &'static str,
-}
-
 /// A latency histogram with the gate's buckets.
 fn latency_histogram() -> Histogram {
     Histogram::new(LATENCY_BUCKETS)
 }
 
+/// A family of latency histograms.
+pub(crate) type LatencyFamily = Family<RequestLabels, Histogram, fn() -> Histogram>;
+
 /// All metrics of one gate.
 #[derive(Debug)]
 pub struct GateMetrics {
     registry: Registry,
     /// Time from a request's head to the end of its answer, in seconds.
-    pub latency: Family<RequestLabels, Histogram, fn() -> Histogram>,
+    pub latency: LatencyFamily,
     /// Requests in flight.
     pub in_flight: Gauge,
-    /// Attempts sent to servers.
-    pub attempts: Counter,
     /// Open caller connections.
     pub callers: Gauge,
+    /// Highest fleet revision of which every change is in force here.
+    pub fleet_revision: Gauge,
+    /// Time since the documents were last known to be the newest, in seconds.
+    pub document_age: Gauge<f64, AtomicU64>,
+    /// 1 while the gate is cut off from the table and from every gate that reaches it.
+    pub stale: Gauge,
+    /// Gates seen live, this one included.
+    pub gates_live: Gauge,
+    /// Issued keys that the gate remembers.
+    pub key_entries: Gauge,
+    refusals: Family<ReasonLabels, Counter>,
+    attempts: Family<OutcomeLabels, Counter>,
+    retries: Family<ServiceLabels, Counter>,
+    probes_allowed: Family<ServiceLabels, Gauge>,
+    probes_granted: Family<ServiceLabels, Counter>,
+    probes_spent: Family<ServiceLabels, Counter>,
+    document_revision: Family<ServiceLabels, Gauge>,
+    servers: Family<ServiceLabels, Gauge>,
+    servers_leaving: Family<ServiceLabels, Gauge>,
+    platform_failures: Family<CallLabels, Counter>,
+    peer_bytes: Family<DirectionLabels, Counter>,
 }
 
 impl Default for GateMetrics {
@@ -53,42 +74,144 @@
 impl GateMetrics {
     /// Metrics at zero.
     pub fn new() -> Self {
-        let mut registry = Registry::with_prefix("ggs");
-        let latency = Family::new_with_constructor(latency_histogram as fn() -> Histogram);
-        let in_flight = Gauge::default();
-        let attempts = Counter::default();
-        let callers = Gauge::default();
-        registry.register_with_unit(
-            "request_latency",
-            "Time from request head to end of answer",
-            Unit::Seconds,
-            latency.clone(),
-        );
-        registry.register(
-            "requests_in_flight",
-            "Requests in flight",
-            in_flight.clone(),
-        );
-        registry.register(
-            "server_attempts",
-            "Attempts sent to servers",
-            attempts.clone(),
-        );
-        registry.register(
-            "caller_connections",
-            "Open caller connections",
-            callers.clone(),
-        );
-        Self {
-            registry,
-            latency,
-            in_flight,
-            attempts,
-            callers,
+        let metrics = Self {
+            registry: Registry::with_prefix("ggs"),
+            latency: Family::new_with_constructor(latency_histogram),
+            in_flight: Gauge::default(),
+            callers: Gauge::default(),
+            fleet_revision: Gauge::default(),
+            document_age: Gauge::default(),
+            stale: Gauge::default(),
+            gates_live: Gauge::default(),
+            key_entries: Gauge::default(),
+            refusals: Family::default(),
+            attempts: Family::default(),
+            retries: Family::default(),
+            probes_allowed: Family::default(),
+            probes_granted: Family::default(),
+            probes_spent: Family::default(),
+            document_revision: Family::default(),
+            servers: Family::default(),
+            servers_leaving: Family::default(),
+            platform_failures: Family::default(),
+            peer_bytes: Family::default(),
+        };
+        metrics.registered()
+    }
+
+    /// Registers every metric under its name.
+    fn registered(mut self) -> Self {
+        let mut registry = std::mem::take(&mut self.registry);
+        self.register_requests(&mut registry);
+        self.register_documents(&mut registry);
+        self.register_servers(&mut registry);
+        self.register_neighbours(&mut registry);
+        self.registry = registry;
+        self
+    }
+
+    /// Registers the metrics of requests.
+    fn register_requests(&self, registry: &mut Registry) {
+        let help = "Time from request head to end of answer";
+        registry.register_with_unit("request_latency", help, Unit::Seconds, self.latency.clone());
+        let help = "Requests in flight";
+        registry.register("requests_in_flight", help, self.in_flight.clone());
+        let help = "Requests answered by the gate itself without sending them to a server";
+        registry.register("requests_refused", help, self.refusals.clone());
+        let help = "Open caller connections";
+        registry.register("caller_connections", help, self.callers.clone());
+        let help = "Issued keys that the gate remembers";
+        registry.register("key_entries", help, self.key_entries.clone());
+    }
+
+    /// Registers the metrics of documents.
+    fn register_documents(&self, registry: &mut Registry) {
+        let help = "Highest fleet revision of which every change is in force";
+        registry.register("fleet_revision", help, self.fleet_revision.clone());
+        let help = "Revision of the document in force";
+        registry.register("document_revision", help, self.document_revision.clone());
+        let help = "Time since the documents were last known to be the newest";
+        let age = self.document_age.clone();
+        registry.register_with_unit("document_age", help, Unit::Seconds, age);
+        let help = "1 while cut off from the table and from every gate that reaches it";
+        registry.register("documents_stale", help, self.stale.clone());
+    }
+
+    /// Registers the metrics of servers and of watching them.
+    fn register_servers(&self, registry: &mut Registry) {
+        let help = "Attempts sent to servers, by outcome";
+        registry.register("server_attempts", help, self.attempts.clone());
+        let help = "Attempts after the first of a request";
+        registry.register("request_retries", help, self.retries.clone());
+        let help = "Servers that take new work";
+        registry.register("servers", help, self.servers.clone());
+        let help = "Servers that are leaving";
+        registry.register("servers_leaving", help, self.servers_leaving.clone());
+        let help = "Probes that the document allows all gates in one window";
+        registry.register("probes_allowed", help, self.probes_allowed.clone());
+        let help = "Probes granted to this gate";
+        registry.register("probes_granted", help, self.probes_granted.clone());
+        let help = "Probes that this gate sent";
+        registry.register("probes_spent", help, self.probes_spent.clone());
+    }
+
+    /// Registers the metrics of other gates and of the platform.
+    fn register_neighbours(&self, registry: &mut Registry) {
+        let help = "Gates seen live, this one included";
+        registry.register("gates_live", help, self.gates_live.clone());
+        let help = "Platform calls that failed, by call";
+        registry.register("platform_failures", help, self.platform_failures.clone());
+        let help = "Traffic with other gates";
+        let bytes = self.peer_bytes.clone();
+        registry.register_with_unit("peer_traffic", help, Unit::Bytes, bytes);
+    }
+
+    /// Counts a failed platform call, named for example `table-get`.
+    pub fn count_platform_failure(&self, call: &'static str) {
+        self.platform_failures
+            .get_or_create(&CallLabels { call })
+            .inc();
+    }
+
+    /// Counts bytes sent to other gates.
+    pub fn count_peer_sent(&self, bytes: u64) {
+        let direction = "sent";
+        let labels = DirectionLabels { direction };
+        self.peer_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
+    /// Counts bytes received from other gates.
+    pub fn count_peer_received(&self, bytes: u64) {
+        let direction = "received";
+        let labels = DirectionLabels { direction };
+        self.peer_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+
+    /// The metrics of one service, looked up once and kept by whoever serves it.
+    pub fn service(&self, service: &ServiceName, partner: &PartnerName) -> ServiceMetrics {
+        let labels = ServiceLabels {
+            partner: PartnerLabel(partner.clone()),
+            service: ServiceLabel(service.clone()),
+        };
+        ServiceMetrics {
+            requests: HandleCache::default(),
+            refused: HandleCache::default(),
+            attempted: HandleCache::default(),
+            latency: self.latency.clone(),
+            refusals: self.refusals.clone(),
+            attempts: self.attempts.clone(),
+            retries: self.retries.get_or_create_owned(&labels),
+            probes_allowed: self.probes_allowed.get_or_create_owned(&labels),
+            probes_granted: self.probes_granted.get_or_create_owned(&labels),
+            probes_spent: self.probes_spent.get_or_create_owned(&labels),
+            document_revision: self.document_revision.get_or_create_owned(&labels),
+            servers: self.servers.get_or_create_owned(&labels),
+            servers_leaving: self.servers_leaving.get_or_create_owned(&labels),
+            labels,
         }
     }
 
-    /// The metrics in the Prometheus text format.
+    /// The metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut text = String::new();
         // Writing to a `String` does not fail.
