--- a/crates/standin/tests/server.rs
+++ b/crates/standin/tests/server.rs
@@ -372,6 +372,18 @@
     assert_eq!(answer.expect("answer").status, 200);
 }
 
+#[actix_rt::test]
+async fn answers_name_the_attempt_that_they_answer() {
+    let server = start(ServerOptions::default()).await;
+    for path in ["/x", "/load", "/health"] {
+        let request = client().get(url(&server, path));
+        let request = request.insert_header((HeaderNames::REQUEST_ID, "77"));
+        let answer = request.send().await.expect("answer");
+        let attempt = answer.headers().get(HeaderNames::REQUEST_ID);
+        assert_eq!(attempt.expect("attempt"), "77", "{path}");
+    }
+}
+
 async fn report_of(server: &ServerHandle) -> String {
     let answer = client()
         .get(url(server, "/health"))
