--- a/crates/standin/src/answer.rs
+++ b/crates/standin/src/answer.rs
@@ -4,11 +4,14 @@
 //! that depend on the token and `N`. A body cut short, continued with another's bytes or answered
 //! to another caller differs from the expected one.
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 
 /// Length of the closing digest in bytes.
 pub const DIGEST_BYTES: u64 = 16;
 
+/// Length up to which the token is repeated in memory, in bytes.
+const PATTERN_BYTES: u64 = 4096;
+
 /// Offset basis of the 64-bit FNV-1a hash.
 const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
 
@@ -39,8 +42,10 @@
         let hash = fnv(fnv(FNV_BASIS, token.as_bytes()), &length.to_be_bytes());
         let mut digest = [0; DIGEST_BYTES as usize];
         digest.copy_from_slice(format!("{hash:016x}").as_bytes());
+        let unit = format!("{token} ");
+        let repeats = length.min(PATTERN_BYTES) as usize / unit.len() + 1;
         Self {
-            pattern: Bytes::from(format!("{token} ")),
+            pattern: Bytes::from(unit.repeat(repeats)),
             digest,
             length,
         }
@@ -54,25 +59,45 @@
     /// At most `count` bytes from `offset`; fewer at the end.
     pub fn slice(&self, offset: u64, count: usize) -> Bytes {
         let end = self.length.min(offset.saturating_add(count as u64));
-        (offset..end).map(|at| self.byte(at)).collect()
+        let mut bytes = BytesMut::with_capacity(end.saturating_sub(offset) as usize);
+        let mut at = offset;
+        while at < end {
+            let run = self.run_at(at, (end - at) as usize);
+            bytes.extend_from_slice(run);
+            at += run.len() as u64;
+        }
+        bytes.freeze()
     }
 
     /// Whether the body has these bytes at `offset`.
     pub fn matches_at(&self, offset: u64, bytes: &[u8]) -> bool {
-        let fits = offset + bytes.len() as u64 <= self.length;
-        fits && bytes
-            .iter()
-            .zip(offset..)
-            .all(|(byte, at)| *byte == self.byte(at))
+        let mut at = offset;
+        let mut rest = bytes;
+        while !rest.is_empty() {
+            if at >= self.length {
+                return false;
+            }
+            let run = self.run_at(at, rest.len());
+            if !rest.starts_with(run) {
+                return false;
+            }
+            at += run.len() as u64;
+            rest = &rest[run.len()..];
+        }
+        true
     }
 
-    /// The byte at an offset before the end.
-    fn byte(&self, at: u64) -> u8 {
+    /// The longest run of at most `limit` bytes from an offset before the end that is stored in one
+    /// piece; never empty.
+    fn run_at(&self, at: u64, limit: usize) -> &[u8] {
         let digest_start = self.length - DIGEST_BYTES;
         if at >= digest_start {
-            return self.digest[(at - digest_start) as usize];
+            let run = &self.digest[(at - digest_start) as usize..];
+            return &run[..run.len().min(limit)];
         }
-        self.pattern[(at % self.pattern.len() as u64) as usize]
+        let run = &self.pattern[(at % self.pattern.len() as u64) as usize..];
+        let left = usize::try_from(digest_start - at).unwrap_or(usize::MAX);
+        &run[..run.len().min(limit).min(left)]
     }
 }
 
