--- a/crates/observe/tests/metrics.rs
+++ b/crates/observe/tests/metrics.rs
@@ -112,7 +112,7 @@
                 _ => &[],
             };
             let matches = |suffix: &&str| sample.name == format!("{family}{suffix}");
-            suffixes.iter().any(|suffix| matches(suffix))
+            suffixes.iter().any(matches)
         });
         assert!(owner.is_some(), "{sample:?} has no family");
     }
--- a/crates/standin/src/work.rs
+++ b/crates/standin/src/work.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody, SizedStream};
+use actix_http::header::HeaderName;
 use actix_http::{Request, Response, ResponseBuilder, StatusCode};
 use bytes::Bytes;
 use futures_util::stream::{self, Stream};
@@ -55,11 +56,17 @@
         while self.shared.faults.borrow().freeze {
             actix_rt::time::sleep(FREEZE_INTERVAL).await;
         }
-        match (request.method().as_str(), path.as_str()) {
+        let echoed = request.head().headers.get(HeaderNames::REQUEST_ID).cloned();
+        let mut answer = match (request.method().as_str(), path.as_str()) {
             ("GET", "/load") => self.answer_load().await,
             ("GET", "/health") => self.answer_health(),
             _ => self.answer_work(&mut request, &connection).await,
+        };
+        if let Some(id) = echoed {
+            let name = HeaderName::from_static(HeaderNames::REQUEST_ID);
+            answer.headers_mut().insert(name, id);
         }
+        answer
     }
 }
 
