Count requests, refusals and attempts through resolved metric handles

Cause: the gate looked labels up for every request. Change: each service keeps its metrics; a transport for one service counts attempts and retries.

--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -100,13 +100,18 @@
     failure(fault.status(), RunVerdict::NotRun, fault.into(), wait)
 }
 
-/// The answer to a request that was not admitted.
-pub(crate) fn entry_refusal(refusal: &EntryRefusal) -> Response<GateBody> {
-    let reason = match refusal.cause {
+/// The reason that names a bound.
+pub(crate) const fn entry_reason(cause: RefusalCause) -> &'static str {
+    match cause {
         RefusalCause::ServiceClass => "service-limit",
         RefusalCause::PartnerShare => "partner-limit",
         RefusalCause::GateTotal => "gate-limit",
-    };
+    }
+}
+
+/// The answer to a request that was not admitted.
+pub(crate) fn entry_refusal(refusal: &EntryRefusal) -> Response<GateBody> {
+    let reason = entry_reason(refusal.cause);
     let wait = Some(refusal.retry_after);
     failure(
         StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -8,7 +8,7 @@
 use foldhash::{HashMap, HashMapExt, HashSet};
 use ggs_limit::{AdmissionLimits, GateCapacity, RetryAllowance};
 use ggs_model::{BootClock, GateId, ServerEntry, ServiceName, VersionedDocument};
-use ggs_observe::{EventLog, GateMetrics};
+use ggs_observe::{EventLog, GateMetrics, ServiceMetrics};
 use ggs_pick::{ServerChooser, ServerSeed, SignalChooser};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_settings::GateSettings;
@@ -53,6 +53,8 @@
 pub(crate) struct ServiceCore {
     /// The document in force.
     document: RefCell<VersionedDocument>,
+    /// The service's metrics; replaced when another partner takes the service over.
+    metrics: RefCell<Rc<ServiceMetrics>>,
     /// Chooses servers.
     pub(crate) chooser: Rc<RefCell<GateChooser>>,
     /// Grants retries.
@@ -64,6 +66,11 @@
     pub(crate) fn document(&self) -> VersionedDocument {
         self.document.borrow().clone()
     }
+
+    /// The service's metrics.
+    pub(crate) fn metrics(&self) -> Rc<ServiceMetrics> {
+        Rc::clone(&self.metrics.borrow())
+    }
 }
 
 impl GateCore {
@@ -101,6 +108,7 @@
             if service.document.borrow().revision >= versioned.revision {
                 return false;
             }
+            *service.metrics.borrow_mut() = self.service_metrics(&versioned);
             *service.document.borrow_mut() = versioned;
             service
                 .retries
@@ -115,6 +123,7 @@
             .eject_percent(versioned.document.eject_percent)
             .build();
         let service = Rc::new(ServiceCore {
+            metrics: RefCell::new(self.service_metrics(&versioned)),
             document: RefCell::new(versioned),
             chooser: Rc::new(RefCell::new(chooser)),
             retries: RefCell::new(retries),
@@ -125,6 +134,15 @@
         true
     }
 
+    /// Metrics of the service that a document describes.
+    fn service_metrics(&self, versioned: &VersionedDocument) -> Rc<ServiceMetrics> {
+        let document = &versioned.document;
+        let metrics = self.metrics.service(&document.service, &document.partner);
+        metrics.set_revision(versioned.revision);
+        metrics.set_probes_allowed(document.measuring.probes);
+        Rc::new(metrics)
+    }
+
     /// Tells the admission limits how many partners share the gate.
     fn refresh_capacity(&self) {
         let services = self.services.borrow();
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -12,6 +12,7 @@
 use crate::core::{GateChooser, GateCore, ServiceCore};
 use crate::request::{self, RequestTerms, ServiceRequest};
 use crate::span::RequestSpan;
+use crate::transport::ServiceTransport;
 
 /// The result of relaying a request.
 pub(crate) type RelayResult =
@@ -39,9 +40,13 @@
         Ok(terms) => terms,
         Err(fault) => return answer::fault(fault),
     };
-    let mut span = match RequestSpan::enter(core, &document, terms.class, came) {
+    let mut span = match RequestSpan::enter(core, &service, &document, terms.class, came) {
         Ok(span) => span,
-        Err(refusal) => return answer::entry_refusal(&refusal),
+        Err(refusal) => {
+            let reason = answer::entry_reason(refusal.cause);
+            service.metrics().count_refusal(reason);
+            return answer::entry_refusal(&refusal);
+        }
     };
     let time = terms.deadline.since(came);
     let body = match request::read_body(payload, core.settings.body_limit, time).await {
@@ -53,6 +58,7 @@
         Ok(relayed) => answered(relayed, &prepared, span),
         Err(failure) => {
             span.set_verdict(failure.verdict.into());
+            service.metrics().count_refusal(failure.kind.into());
             answer::relay_failure(&failure)
         }
     }
@@ -64,8 +70,13 @@
     service: &ServiceCore,
     request: &RelayRequest,
 ) -> RelayResult {
+    let metrics = service.metrics();
+    let transport = ServiceTransport {
+        gate: &core.transport,
+        metrics: &metrics,
+    };
     let relay = RelayLoop {
-        transport: &core.transport,
+        transport: &transport,
         chooser: &service.chooser,
         retries: &service.retries,
         clock: core.clock,
--- a/crates/gate/src/span.rs
+++ b/crates/gate/src/span.rs
@@ -4,16 +4,18 @@
 
 use ggs_limit::{EntryPass, EntryRefusal, EntryRequest};
 use ggs_model::{Clock, Moment, RequestClass, ServiceDocument};
-use ggs_observe::RequestLabels;
+use ggs_observe::ServiceMetrics;
 
-use crate::core::GateCore;
+use crate::core::{GateCore, ServiceCore};
 
 /// Keeps a request admitted and measures it; ends when dropped.
 #[derive(Debug)]
 pub(crate) struct RequestSpan {
     core: Rc<GateCore>,
     pass: Option<EntryPass>,
-    labels: RequestLabels,
+    metrics: Rc<ServiceMetrics>,
+    class: RequestClass,
+    verdict: &'static str,
     came: Moment,
 }
 
@@ -21,6 +23,7 @@
     /// Admits a request that came at `came`.
     pub(crate) fn enter(
         core: &Rc<GateCore>,
+        service: &ServiceCore,
         document: &ServiceDocument,
         class: RequestClass,
         came: Moment,
@@ -33,32 +36,28 @@
         };
         let pass = core.limits.borrow_mut().enter(&request)?;
         core.metrics.in_flight.inc();
-        let labels = RequestLabels {
-            partner: document.partner.as_str().to_owned(),
-            class: class.into(),
-            verdict: "not-run",
-        };
         Ok(Self {
             core: Rc::clone(core),
             pass: Some(pass),
-            labels,
+            metrics: service.metrics(),
+            class,
+            verdict: "not-run",
             came,
         })
     }
 
     /// Notes what became of the request.
     pub(crate) fn set_verdict(&mut self, verdict: &'static str) {
-        self.labels.verdict = verdict;
+        self.verdict = verdict;
     }
 }
 
 impl Drop for RequestSpan {
     fn drop(&mut self) {
         let elapsed = self.core.clock.now().since(self.came);
-        let metrics = &self.core.metrics;
-        let latency = metrics.latency.get_or_create(&self.labels);
-        latency.observe(elapsed.as_secs_f64());
-        metrics.in_flight.dec();
+        self.metrics
+            .observe_request(self.class, self.verdict, elapsed);
+        self.core.metrics.in_flight.dec();
         if let Some(pass) = self.pass.take() {
             self.core.limits.borrow_mut().leave(pass);
         }
--- a/crates/gate/src/transport.rs
+++ b/crates/gate/src/transport.rs
@@ -8,6 +8,7 @@
 
 use actix_http::header::HeaderMap;
 use ggs_model::{HeaderNames, Incarnation, ServerId};
+use ggs_observe::ServiceMetrics;
 use ggs_relay::{
     AttemptFailure, AttemptPlan, ConnectionPool, HttpTransport, RelayBody, RelayRequest,
     ServerAnswer, ServerTransport,
@@ -86,7 +87,16 @@
     }
 }
 
-impl ServerTransport for GateTransport {
+/// Makes attempts for one service and counts them.
+#[derive(Debug)]
+pub(crate) struct ServiceTransport<'a> {
+    /// The gate's transport.
+    pub(crate) gate: &'a GateTransport,
+    /// Where attempts are counted.
+    pub(crate) metrics: &'a ServiceMetrics,
+}
+
+impl ServerTransport for ServiceTransport<'_> {
     type Body = RelayBody;
 
     async fn attempt(
@@ -95,8 +105,17 @@
         request: &RelayRequest,
         plan: AttemptPlan,
     ) -> Result<ServerAnswer<RelayBody>, AttemptFailure> {
-        let answer = self.inner.attempt(server, request, plan).await?;
-        self.note_sign(server, &answer.head.headers);
-        Ok(answer)
+        if plan.retry > 0 {
+            self.metrics.count_retry();
+        }
+        let result = self.gate.inner.attempt(server, request, plan).await;
+        match &result {
+            Ok(answer) => {
+                self.gate.note_sign(server, &answer.head.headers);
+                self.metrics.count_attempt("answered");
+            }
+            Err(failure) => self.metrics.count_attempt(failure.kind.into()),
+        }
+        result
     }
 }
