--- /dev/null
+++ b/crates/peer/tests/links.rs
@@ -0,0 +1,322 @@
+//! Connections over real loopback sockets: silent ones, garbage, restarts and stalls.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use ggs_follow::FleetDigest;
+use ggs_member::{GateRecord, GateState};
+use ggs_model::{DataCentre, GateId, HostName, Incarnation, ServerId};
+use ggs_peer::{
+    LinkEvent, LinkFault, LinkTiming, PROTOCOL_VERSION, PeerHeartbeat, PeerHello, PeerMessage,
+    PeerNode, encode_message,
+};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::Receiver;
+use tokio::time::{sleep, timeout};
+
+/// Longest wait for anything that should happen.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn timing() -> LinkTiming {
+    LinkTiming {
+        connect: Duration::from_millis(300),
+        silence: Duration::from_millis(400),
+        backoff: Duration::from_millis(50),
+        backoff_limit: Duration::from_millis(200),
+    }
+}
+
+fn hello(host: &str, incarnation: u64, peers: SocketAddr) -> PeerHello {
+    let record = GateRecord {
+        gate: GateId {
+            host: HostName::new(host),
+            incarnation: Incarnation(incarnation),
+        },
+        data_centre: DataCentre::new("dc-1"),
+        callers: "127.0.0.1:1".parse().unwrap(),
+        peers,
+        state: GateState::Live,
+    };
+    PeerHello {
+        version: PROTOCOL_VERSION,
+        record,
+    }
+}
+
+fn heartbeat(sequence: u64) -> PeerMessage {
+    PeerMessage::Heartbeat(PeerHeartbeat {
+        sequence,
+        state: GateState::Draining,
+        digest: FleetDigest::default(),
+        leaving: Vec::new(),
+        in_flight: Vec::new(),
+    })
+}
+
+async fn start_node(host: &str) -> (PeerNode, Receiver<LinkEvent>, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (node, events) = PeerNode::start(listener, hello(host, 1, address), timing());
+    (node, events, address)
+}
+
+/// The first event that `wanted` maps to something.
+async fn wait_event<T>(
+    events: &mut Receiver<LinkEvent>,
+    wanted: impl Fn(LinkEvent) -> Option<T>,
+) -> T {
+    let search = async {
+        loop {
+            if let Some(found) = wanted(events.recv().await.unwrap()) {
+                return found;
+            }
+        }
+    };
+    timeout(PATIENCE, search).await.expect("event did not come")
+}
+
+fn fault_of(event: LinkEvent) -> Option<LinkFault> {
+    match event {
+        LinkEvent::Down { fault, .. } => Some(fault),
+        _ => None,
+    }
+}
+
+fn is_up(event: LinkEvent) -> Option<GateRecord> {
+    match event {
+        LinkEvent::Up { record, .. } => Some(record),
+        _ => None,
+    }
+}
+
+async fn send_frame(stream: &mut TcpStream, message: &PeerMessage) {
+    let bytes = encode_message(message);
+    stream.write_u32(bytes.len() as u32).await.unwrap();
+    stream.write_all(&bytes).await.unwrap();
+}
+
+#[actix_rt::test]
+async fn messages_pass_both_ways() {
+    let (dialler, mut dialler_events, _) = start_node("entry-1").await;
+    let (_accepter, mut accepter_events, address) = start_node("entry-2").await;
+    dialler.dial(address);
+    wait_event(&mut dialler_events, is_up).await;
+    let address = "127.0.0.1:9".parse().unwrap();
+    let leaving = PeerMessage::Leaving(vec![ServerId {
+        address,
+        incarnation: Incarnation(4),
+    }]);
+    dialler.send_all(&heartbeat(1));
+    dialler.send_all(&leaving);
+    let mut seen = Vec::new();
+    while seen.len() < 2 {
+        let message = |event| match event {
+            LinkEvent::Message {
+                record,
+                message,
+                outbox,
+            } => Some((record, message, outbox)),
+            _ => None,
+        };
+        let (record, message, outbox) = wait_event(&mut accepter_events, message).await;
+        assert_eq!(record.gate.host.as_str(), "entry-1");
+        if matches!(message, PeerMessage::Heartbeat(_)) {
+            assert_eq!(record.state, GateState::Draining);
+        }
+        outbox.push(PeerMessage::Roster(vec![address]));
+        seen.push(message);
+    }
+    assert!(seen.contains(&leaving) && seen.contains(&heartbeat(1)));
+    let roster = |event| match event {
+        LinkEvent::Message {
+            message: PeerMessage::Roster(addresses),
+            ..
+        } => Some(addresses),
+        _ => None,
+    };
+    assert_eq!(wait_event(&mut dialler_events, roster).await, [address]);
+}
+
+/// What the other end does with a connection.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum BadPeer {
+    SwallowsAtOnce,
+    SwallowsAfterHello,
+    ClosesAtOnce,
+    SpeaksHttp,
+    SendsEmptyFrame,
+    SkipsHello,
+    OtherVersion,
+}
+
+async fn serve_badly(mut stream: TcpStream, kind: BadPeer) {
+    let own = "127.0.0.1:1".parse().unwrap();
+    let introduction = PeerMessage::Hello(hello("entry-9", 1, own));
+    match kind {
+        BadPeer::SwallowsAtOnce => {}
+        BadPeer::ClosesAtOnce => return,
+        BadPeer::SwallowsAfterHello => send_frame(&mut stream, &introduction).await,
+        BadPeer::SpeaksHttp => stream
+            .write_all(b"HTTP/1.1 400 Bad Request\r\n\r\n")
+            .await
+            .unwrap(),
+        BadPeer::SendsEmptyFrame => stream.write_u32(0).await.unwrap(),
+        BadPeer::SkipsHello => send_frame(&mut stream, &heartbeat(1)).await,
+        BadPeer::OtherVersion => {
+            let mut other = hello("entry-9", 1, own);
+            other.version = PROTOCOL_VERSION + 1;
+            send_frame(&mut stream, &PeerMessage::Hello(other)).await;
+        }
+    }
+    let mut sink = [0; 1_024];
+    // Reads until the node gives the connection up.
+    while stream.read(&mut sink).await.is_ok_and(|count| count > 0) {}
+}
+
+#[actix_rt::test]
+async fn bad_connections_end_with_a_fault_and_are_replaced() {
+    struct Case {
+        peer: BadPeer,
+        expected: fn(&LinkFault) -> bool,
+    }
+    let cases = [
+        Case {
+            peer: BadPeer::SwallowsAtOnce,
+            expected: |fault| *fault == LinkFault::Silent,
+        },
+        Case {
+            peer: BadPeer::SwallowsAfterHello,
+            expected: |fault| *fault == LinkFault::Silent,
+        },
+        Case {
+            peer: BadPeer::ClosesAtOnce,
+            expected: |fault| matches!(fault, LinkFault::Closed { .. }),
+        },
+        Case {
+            peer: BadPeer::SpeaksHttp,
+            expected: |fault| matches!(fault, LinkFault::Garbage(_)),
+        },
+        Case {
+            peer: BadPeer::SendsEmptyFrame,
+            expected: |fault| matches!(fault, LinkFault::Garbage(_)),
+        },
+        Case {
+            peer: BadPeer::SkipsHello,
+            expected: |fault| *fault == LinkFault::NoHello,
+        },
+        Case {
+            peer: BadPeer::OtherVersion,
+            expected: |fault| matches!(fault, LinkFault::OtherVersion { .. }),
+        },
+    ];
+    for case in cases {
+        let (node, mut events, _) = start_node("entry-1").await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        node.dial(address);
+        let (stream, _) = listener.accept().await.unwrap();
+        let bad = actix_rt::spawn(serve_badly(stream, case.peer));
+        let fault = wait_event(&mut events, fault_of).await;
+        assert!((case.expected)(&fault), "{:?}: {fault}", case.peer);
+        timeout(PATIENCE, bad)
+            .await
+            .expect("connection was not closed")
+            .unwrap();
+        // A gate that works now answers on the same address.
+        let good = hello("entry-2", 1, address);
+        let (_good, _good_events) = PeerNode::start(listener, good, timing());
+        let started = Instant::now();
+        wait_event(&mut events, is_up).await;
+        assert!(
+            started.elapsed() < Duration::from_secs(2),
+            "{:?}",
+            case.peer
+        );
+    }
+}
+
+#[actix_rt::test]
+async fn garbage_on_the_port_is_closed_and_leaves_the_node_working() {
+    let (_node, mut events, address) = start_node("entry-1").await;
+    for garbage in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        &[0xff; 64],
+        &[0, 0, 0, 2, 0xff, 0xff],
+    ] {
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        stream.write_all(garbage).await.unwrap();
+        let fault = wait_event(&mut events, fault_of).await;
+        assert!(matches!(fault, LinkFault::Garbage(_)), "{fault}");
+        let mut rest = Vec::new();
+        // Ends, whether cleanly or by a reset.
+        let end = timeout(PATIENCE, stream.read_to_end(&mut rest)).await;
+        assert!(end.is_ok(), "connection was not closed");
+    }
+    let (dialler, mut dialler_events, _) = start_node("entry-2").await;
+    dialler.dial(address);
+    wait_event(&mut dialler_events, is_up).await;
+}
+
+#[actix_rt::test]
+async fn own_address_is_dialled_once() {
+    let (node, mut events, address) = start_node("entry-1").await;
+    node.dial(address);
+    let own = |event| fault_of(event).filter(|fault| *fault == LinkFault::OwnAddress);
+    wait_event(&mut events, own).await;
+    sleep(Duration::from_millis(500)).await;
+    let mut later = Vec::new();
+    while let Ok(event) = events.try_recv() {
+        later.extend(fault_of(event).filter(|fault| *fault == LinkFault::OwnAddress));
+    }
+    // At most the fault that the accepted end of the one connection saw.
+    assert!(later.len() <= 1, "{later:?}");
+}
+
+#[actix_rt::test]
+async fn stalled_link_keeps_only_the_newest_state() {
+    let outbox = ggs_peer::Outbox::default();
+    for sequence in 0..100_000 {
+        outbox.push(heartbeat(sequence));
+        outbox.push(PeerMessage::Changes(ggs_follow::ChangeSet::default()));
+        let address = SocketAddr::from(([127, 0, 0, 1], (sequence % 50_000) as u16));
+        let server = ServerId {
+            address,
+            incarnation: Incarnation(sequence),
+        };
+        outbox.push(PeerMessage::Leaving(vec![server]));
+    }
+    outbox.close();
+    let mut kinds = Vec::new();
+    while let Some(message) = outbox.pop() {
+        match message {
+            PeerMessage::Leaving(servers) => assert!(servers.len() <= 8_192),
+            PeerMessage::Heartbeat(last) => assert_eq!(last.sequence, 99_999),
+            _ => {}
+        }
+        kinds.push(());
+    }
+    assert!(kinds.len() <= 10, "{}", kinds.len());
+}
+
+#[actix_rt::test]
+async fn goodbye_is_sent_before_the_link_ends() {
+    let (dialler, mut dialler_events, _) = start_node("entry-1").await;
+    let (_accepter, mut accepter_events, address) = start_node("entry-2").await;
+    dialler.dial(address);
+    wait_event(&mut dialler_events, is_up).await;
+    let gate = GateId {
+        host: HostName::new("entry-1"),
+        incarnation: Incarnation(1),
+    };
+    dialler.send_all(&PeerMessage::Goodbye(gate.clone()));
+    dialler.stop();
+    let goodbye = |event| match event {
+        LinkEvent::Message {
+            message: PeerMessage::Goodbye(gate),
+            ..
+        } => Some(gate),
+        _ => None,
+    };
+    assert_eq!(wait_event(&mut accepter_events, goodbye).await, gate);
+}
