--- /dev/null
+++ b/crates/gate/src/request.rs
@@ -0,0 +1,199 @@
+//! A caller's request, checked and with its body read.
+
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::{Method, Payload, Uri};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+use ggs_limit::CallPlace;
+use ggs_model::{HeaderNames, Moment, RequestClass, ServiceDocument};
+use ggs_relay::{BodyWatch, RelayRequest};
+use tokio::time::timeout;
+
+use crate::answer::CallerFault;
+
+/// Longest deadline that a caller may ask for, in milliseconds.
+const DEADLINE_LIMIT_MS: u64 = 3_600_000;
+
+/// Headers that belong to one connection and are not passed on.
+const HOP_HEADERS: [&str; 11] = [
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// What a caller's headers ask for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CallerTerms {
+    /// Class asked for.
+    pub(crate) class: RequestClass,
+    /// Time to answer, if the caller named one.
+    pub(crate) deadline: Option<Duration>,
+    /// Where in a chain of calls the request reached this gate.
+    pub(crate) place: CallPlace,
+}
+
+impl CallerTerms {
+    /// Reads the terms from a request's headers.
+    pub(crate) fn read(headers: &HeaderMap) -> Result<Self, CallerFault> {
+        let class = match text_of(headers, HeaderNames::CLASS)? {
+            None => RequestClass::default(),
+            Some(text) => text.parse().map_err(|_| CallerFault::BadClass)?,
+        };
+        let deadline = match text_of(headers, HeaderNames::DEADLINE)? {
+            None => None,
+            Some(text) => Some(read_deadline(text)?),
+        };
+        let attempt = text_of(headers, HeaderNames::ATTEMPT)?;
+        if attempt.is_some_and(|text| text.parse::<u32>().is_err()) {
+            return Err(CallerFault::BadAttempt);
+        }
+        let place = CallPlace::from_header(attempt);
+        Ok(Self {
+            class,
+            deadline,
+            place,
+        })
+    }
+}
+
+/// The text of a header; `None` if it is absent.
+fn text_of<'a>(headers: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, CallerFault> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    value.to_str().map(Some).map_err(|_| CallerFault::BadHeader)
+}
+
+/// Reads a deadline in milliseconds.
+fn read_deadline(text: &str) -> Result<Duration, CallerFault> {
+    let millis: u64 = text.parse().map_err(|_| CallerFault::BadDeadline)?;
+    if millis == 0 || millis > DEADLINE_LIMIT_MS {
+        return Err(CallerFault::BadDeadline);
+    }
+    Ok(Duration::from_millis(millis))
+}
+
+/// The head of a request to a service.
+#[derive(Debug)]
+pub(crate) struct ServiceRequest<'a> {
+    /// Method.
+    pub(crate) method: &'a Method,
+    /// Path after `/s/{service}`, with its query.
+    pub(crate) target: &'a str,
+    /// The caller's headers.
+    pub(crate) headers: &'a HeaderMap,
+}
+
+/// What a request's head asks for, checked against its service's document.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestTerms {
+    /// Path and query at the server.
+    target: Uri,
+    /// Class.
+    pub(crate) class: RequestClass,
+    /// Whether the request may be sent again after it may have run.
+    pub(crate) idempotent: bool,
+    /// The latest moment for an answer.
+    pub(crate) deadline: Moment,
+    /// Where in a chain of calls the request reached this gate.
+    place: CallPlace,
+}
+
+impl RequestTerms {
+    /// Checks the head of a request that came at `came`.
+    pub(crate) fn read(
+        document: &ServiceDocument,
+        request: &ServiceRequest<'_>,
+        came: Moment,
+    ) -> Result<Self, CallerFault> {
+        let asked = CallerTerms::read(request.headers)?;
+        let path = request.target.split('?').next().unwrap_or(request.target);
+        let method = request.method.as_str();
+        let class = document.class_of(method, path, asked.class);
+        let length = asked.deadline;
+        let length = length.unwrap_or_else(|| document.default_deadline(class));
+        Ok(Self {
+            target: request.target.parse().map_err(|_| CallerFault::BadTarget)?,
+            class,
+            idempotent: !document.is_non_idempotent(method, path),
+            deadline: came + length,
+            place: asked.place,
+        })
+    }
+
+    /// The request with its body, ready for the relay.
+    pub(crate) fn into_request(
+        self,
+        document: &ServiceDocument,
+        request: &ServiceRequest<'_>,
+        body: Bytes,
+    ) -> RelayRequest {
+        let watch = match self.class {
+            RequestClass::Export => BodyWatch::Progress(document.default_deadline(self.class)),
+            RequestClass::Urgent | RequestClass::Standard => BodyWatch::Deadline,
+        };
+        RelayRequest {
+            method: request.method.clone(),
+            target: self.target,
+            headers: end_to_end(request.headers),
+            body,
+            class: self.class,
+            idempotent: self.idempotent,
+            place: self.place,
+            deadline: self.deadline,
+            watch,
+            trust_refusals: document.trust_refusals,
+        }
+    }
+}
+
+/// The headers that are passed on.
+pub(crate) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let connection = headers.get_all("connection");
+    let named: Vec<String> = connection
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|text| text.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect();
+    let mut kept = HeaderMap::with_capacity(headers.len() + 4);
+    for (name, value) in headers {
+        let text = name.as_str();
+        if HOP_HEADERS.contains(&text) || named.iter().any(|other| other == text) {
+            continue;
+        }
+        kept.append(name.clone(), value.clone());
+    }
+    kept
+}
+
+/// Reads the whole body of a request.
+pub(crate) async fn read_body(
+    mut payload: Payload,
+    limit: usize,
+    time: Duration,
+) -> Result<Bytes, CallerFault> {
+    let read = async {
+        let mut body = BytesMut::new();
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_| CallerFault::BodyIncomplete)?;
+            if body.len() + chunk.len() > limit {
+                return Err(CallerFault::BodyTooLong);
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.freeze())
+    };
+    timeout(time, read)
+        .await
+        .unwrap_or(Err(CallerFault::BodyIncomplete))
+}
