Refuse answers whose end cannot be told from a cut

Cause: the new table of raw answers showed an HTTP/1.1 answer without a length delivered as an empty whole answer: the codec takes it for one without a body (left Ok([]), right Err(BadAnswer)). Ruled out: the codec's stream type, which it reports only for upgrades. Change: an answer with neither a length nor chunks is a bad answer unless its status or method has no body.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -128,7 +128,7 @@
         let codec = self.framed.codec();
         let echoed = head.headers.get(HeaderNames::REQUEST_ID);
         let owned = echoed.map(|value| value.as_bytes() == label.id.to_string().as_bytes());
-        let unbounded = codec.message_type() == MessageType::Stream;
+        let unbounded = !is_bounded(&head, &request.method);
         if owned == Some(false) || unbounded || head.status.is_informational() {
             return Err(fail(FailureKind::BadAnswer));
         }
@@ -163,6 +163,20 @@
     }
 }
 
+/// Whether the end of an answer can be told from a cut.
+///
+/// The codec takes an answer without a length for an empty one, and an HTTP/1.0 answer to end with
+/// its connection; both would pass a cut answer off as whole.
+fn is_bounded(head: &ResponseHead, method: &actix_http::Method) -> bool {
+    let bodiless = matches!(head.status.as_u16(), 204 | 304) || *method == actix_http::Method::HEAD;
+    let lengthy = head.headers.contains_key("content-length");
+    let coding = head
+        .headers
+        .get("transfer-encoding")
+        .and_then(|value| value.to_str().ok());
+    bodiless || lengthy || coding.is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"))
+}
+
 /// Sets a header to a number.
 fn insert_number(head: &mut RequestHead, name: &'static str, number: u64) {
     let name = actix_http::header::HeaderName::from_static(name);
