--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -5,19 +5,22 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use foldhash::{HashMap, HashMapExt};
+use foldhash::{HashMap, HashMapExt, HashSet};
+use ggs_limit::{AdmissionLimits, GateCapacity, RetryAllowance};
 use ggs_model::{BootClock, GateId, ServerEntry, ServiceName, VersionedDocument};
-use ggs_observe::{EventLog, GateMetrics};
+use ggs_observe::{EventLog, GateMetrics, ServiceMetrics};
 use ggs_pick::{ServerChooser, ServerSeed, SignalChooser};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_settings::GateSettings;
 
-use crate::retries::RetryShare;
 use crate::transport::GateTransport;
 
 /// The policy that gates use.
 pub(crate) type GateChooser = SignalChooser;
 
+/// Requests in flight at one gate.
+const TOTAL_LIMIT: u32 = 2_048;
+
 /// State of one gate.
 #[derive(Debug)]
 pub(crate) struct GateCore {
@@ -33,6 +36,8 @@
     pub(crate) metrics: GateMetrics,
     /// Makes attempts at servers.
     pub(crate) transport: GateTransport,
+    /// Admits requests.
+    pub(crate) limits: RefCell<AdmissionLimits>,
     /// Services by name.
     services: RefCell<HashMap<ServiceName, Rc<ServiceCore>>>,
     /// The latest host list.
@@ -48,10 +53,12 @@
 pub(crate) struct ServiceCore {
     /// The document in force.
     document: RefCell<VersionedDocument>,
+    /// The service's metrics; replaced when another partner takes the service over.
+    metrics: RefCell<Rc<ServiceMetrics>>,
     /// Chooses servers.
     pub(crate) chooser: Rc<RefCell<GateChooser>>,
     /// Grants retries.
-    pub(crate) retries: RefCell<RetryShare>,
+    pub(crate) retries: RefCell<RetryAllowance>,
 }
 
 impl ServiceCore {
@@ -59,6 +66,11 @@
     pub(crate) fn document(&self) -> VersionedDocument {
         self.document.borrow().clone()
     }
+
+    /// The service's metrics.
+    pub(crate) fn metrics(&self) -> Rc<ServiceMetrics> {
+        Rc::clone(&self.metrics.borrow())
+    }
 }
 
 impl GateCore {
@@ -73,6 +85,10 @@
             log,
             metrics: GateMetrics::new(),
             transport: GateTransport::new(pool),
+            limits: RefCell::new(AdmissionLimits::new(GateCapacity {
+                total: TOTAL_LIMIT,
+                partners: 1,
+            })),
             services: RefCell::new(HashMap::new()),
             listed: RefCell::new(Vec::new()),
             draining: Cell::new(false),
@@ -92,6 +108,7 @@
             if service.document.borrow().revision >= versioned.revision {
                 return false;
             }
+            *service.metrics.borrow_mut() = self.service_metrics(&versioned);
             *service.document.borrow_mut() = versioned;
             service
                 .retries
@@ -100,21 +117,46 @@
             self.refresh_servers(&service);
             return true;
         }
-        let retries = RetryShare::new(versioned.document.retry_percent);
+        let retries = RetryAllowance::new(versioned.document.retry_percent);
         let chooser = SignalChooser::builder()
             .seed(rand::random())
             .eject_percent(versioned.document.eject_percent)
             .build();
         let service = Rc::new(ServiceCore {
+            metrics: RefCell::new(self.service_metrics(&versioned)),
             document: RefCell::new(versioned),
             chooser: Rc::new(RefCell::new(chooser)),
             retries: RefCell::new(retries),
         });
         self.refresh_servers(&service);
         self.services.borrow_mut().insert(name, service);
+        self.refresh_capacity();
         true
     }
 
+    /// Metrics of the service that a document describes.
+    fn service_metrics(&self, versioned: &VersionedDocument) -> Rc<ServiceMetrics> {
+        let document = &versioned.document;
+        let metrics = self.metrics.service(&document.service, &document.partner);
+        metrics.set_revision(versioned.revision);
+        metrics.set_probes_allowed(document.measuring.probes);
+        Rc::new(metrics)
+    }
+
+    /// Tells the admission limits how many partners share the gate.
+    fn refresh_capacity(&self) {
+        let services = self.services.borrow();
+        let partners: HashSet<_> = services
+            .values()
+            .map(|service| service.document().document.partner.clone())
+            .collect();
+        let capacity = GateCapacity {
+            total: TOTAL_LIMIT,
+            partners: partners.len() as u32,
+        };
+        self.limits.borrow_mut().set_capacity(capacity);
+    }
+
     /// Takes a new host list.
     pub(crate) fn set_listed(&self, listed: Vec<ServerEntry>) {
         *self.listed.borrow_mut() = listed;
