Serve requests with issued keys at the gate

POST /v1/keys/{service} issues a key; a request with a key runs at most once at the gate that issued it, and other gates pass it on over HTTP, one hop only. The run is detached from its caller, so a repeat finds the answer of a caller that left.

A refusal that comes before the key is looked up (a limit, a bad body, an unknown service) says "unknown" unless the ledger shows the key as unused: the first request under the key may have run, and a caller that took the refusal of the repeat for its fate would send it again under a new key.

Other gates' addresses come from GateCore::caller_of, which is empty until the exchange between gates fills it.

--- a/crates/gate/src/answer.rs
+++ b/crates/gate/src/answer.rs
@@ -39,6 +39,8 @@
     BodyIncomplete,
     /// The body is longer than the gate's limit.
     BodyTooLong,
+    /// The key header has a form in which no gate issues keys.
+    BadKey,
 }
 
 impl CallerFault {
@@ -53,6 +55,7 @@
             | Self::BadAttempt
             | Self::BadHeader
             | Self::BadTarget
+            | Self::BadKey
             | Self::BodyIncomplete => StatusCode::BAD_REQUEST,
         }
     }
@@ -96,8 +99,13 @@
 
 /// The answer to a faulty request.
 pub(crate) fn fault(fault: CallerFault) -> Response<GateBody> {
+    keyed_fault(fault, RunVerdict::NotRun)
+}
+
+/// The answer to a faulty request whose key may have been used before.
+pub(crate) fn keyed_fault(fault: CallerFault, verdict: RunVerdict) -> Response<GateBody> {
     let wait = matches!(fault, CallerFault::UnknownService).then_some(UNKNOWN_SERVICE_WAIT);
-    failure(fault.status(), RunVerdict::NotRun, fault.into(), wait)
+    failure(fault.status(), verdict, fault.into(), wait)
 }
 
 /// The reason that names a bound.
@@ -109,16 +117,11 @@
     }
 }
 
-/// The answer to a request that was not admitted.
-pub(crate) fn entry_refusal(refusal: &EntryRefusal) -> Response<GateBody> {
+/// The answer to a request that was not admitted; `verdict` tells of earlier uses of its key.
+pub(crate) fn entry_refusal(refusal: &EntryRefusal, verdict: RunVerdict) -> Response<GateBody> {
     let reason = entry_reason(refusal.cause);
     let wait = Some(refusal.retry_after);
-    failure(
-        StatusCode::SERVICE_UNAVAILABLE,
-        RunVerdict::NotRun,
-        reason,
-        wait,
-    )
+    failure(StatusCode::SERVICE_UNAVAILABLE, verdict, reason, wait)
 }
 
 /// The answer to a request that the relay gave up on.
--- a/crates/gate/src/body.rs
+++ b/crates/gate/src/body.rs
@@ -31,8 +31,8 @@
 pub(crate) struct StreamedBody {
     /// The server's body.
     pub(crate) body: RelayBody,
-    /// The attempt at the server.
-    pub(crate) hold: AttemptHold<GateChooser, BootClock>,
+    /// The attempt at the server; `None` for an answer that another gate passes on.
+    pub(crate) hold: Option<AttemptHold<GateChooser, BootClock>>,
     /// The caller's request.
     pub(crate) span: RequestSpan,
 }
@@ -69,7 +69,9 @@
             Self::Streamed(streamed) => {
                 let polled = Pin::new(&mut streamed.body).poll_next(context);
                 if matches!(polled, Poll::Ready(Some(Err(_)))) {
-                    streamed.hold.set_outcome(AttemptOutcome::Failed);
+                    if let Some(hold) = &mut streamed.hold {
+                        hold.set_outcome(AttemptOutcome::Failed);
+                    }
                     streamed.span.set_verdict("cut");
                 }
                 polled
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -13,6 +13,7 @@
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_settings::GateSettings;
 
+use crate::keys::KeyDesk;
 use crate::transport::GateTransport;
 
 /// The policy that gates use.
@@ -36,12 +37,16 @@
     pub(crate) metrics: GateMetrics,
     /// Makes attempts at servers.
     pub(crate) transport: GateTransport,
+    /// Keys that this run of the gate issued.
+    pub(crate) keys: KeyDesk,
     /// Admits requests.
     pub(crate) limits: RefCell<AdmissionLimits>,
     /// Services by name.
     services: RefCell<HashMap<ServiceName, Rc<ServiceCore>>>,
     /// The latest host list.
     listed: RefCell<Vec<ServerEntry>>,
+    /// Addresses for callers of the other gates that live.
+    gates: RefCell<HashMap<GateId, SocketAddr>>,
     /// Whether the gate finishes its work and ends.
     draining: Cell<bool>,
     /// The address that callers reach, once bound.
@@ -78,8 +83,10 @@
     pub(crate) fn new(settings: GateSettings, id: GateId, log: EventLog) -> Rc<Self> {
         let pool = ConnectionPool::new(ConnectionOptions::default());
         let caller_address = Cell::new(settings.listen_callers);
+        let keys = KeyDesk::new(&settings, id.clone());
         Rc::new(Self {
             settings,
+            keys,
             id,
             clock: BootClock,
             log,
@@ -91,6 +98,7 @@
             })),
             services: RefCell::new(HashMap::new()),
             listed: RefCell::new(Vec::new()),
+            gates: RefCell::new(HashMap::new()),
             draining: Cell::new(false),
             caller_address,
         })
@@ -184,6 +192,11 @@
         service.chooser.borrow_mut().replace_servers(&seeds, now);
     }
 
+    /// The address for callers of another gate that lives.
+    pub(crate) fn caller_of(&self, gate: &GateId) -> Option<SocketAddr> {
+        self.gates.borrow().get(gate).copied()
+    }
+
     /// Whether the gate finishes its work and ends.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.get()
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -4,19 +4,49 @@
 
 use actix_http::header::HeaderMap;
 use actix_http::{Request, Response, StatusCode};
-use ggs_model::{Clock, HeaderNames, RunVerdict};
+use ggs_limit::EntryRefusal;
+use ggs_model::{Clock, HeaderNames, RunVerdict, ServiceName};
 use ggs_relay::{AnswerBody, RelayAnswer, RelayBody, RelayFailure, RelayLoop, RelayRequest};
 
 use crate::answer::{self, CallerFault};
 use crate::body::{GateBody, StreamedBody};
 use crate::core::{GateChooser, GateCore, ServiceCore};
+use crate::keyed;
 use crate::request::{self, RequestTerms, ServiceRequest};
 use crate::span::RequestSpan;
 use crate::transport::ServiceTransport;
 
 /// The result of relaying a request.
-pub(crate) type RelayResult =
-    Result<RelayAnswer<RelayBody, GateChooser, ggs_model::BootClock>, RelayFailure>;
+pub(crate) type RelayResult = Result<GateAnswer, RelayFailure>;
+
+/// A server's answer, with its attempt still counted.
+pub(crate) type GateAnswer = RelayAnswer<RelayBody, GateChooser, ggs_model::BootClock>;
+
+/// A request that was admitted, with its body.
+#[derive(Debug)]
+pub(crate) struct AdmittedRequest {
+    /// Name of the service.
+    pub(crate) service_name: ServiceName,
+    /// The service.
+    pub(crate) service: Rc<ServiceCore>,
+    /// The request, ready for the relay.
+    pub(crate) request: RelayRequest,
+    /// Keeps the request admitted.
+    pub(crate) span: RequestSpan,
+}
+
+/// Why a request was not admitted.
+#[derive(Debug)]
+enum EntryFault {
+    Faulty(CallerFault),
+    Refused(EntryRefusal),
+}
+
+impl From<CallerFault> for EntryFault {
+    fn from(fault: CallerFault) -> Self {
+        Self::Faulty(fault)
+    }
+}
 
 /// Serves `/s/{service}/…`.
 pub(crate) async fn serve(
@@ -25,10 +55,37 @@
     target: &str,
     mut request: Request,
 ) -> Response<GateBody> {
-    let came = core.clock.now();
-    let Some(service) = core.service(service_name) else {
-        return answer::fault(CallerFault::UnknownService);
+    let key = match keyed::read_key(&request.head().headers) {
+        Ok(key) => key,
+        Err(fault) => return answer::fault(fault),
     };
+    let admitted = admit(core, service_name, target, &mut request).await;
+    match (admitted, key) {
+        (Ok(admitted), None) => relay_unkeyed(core, admitted).await,
+        (Ok(admitted), Some(key)) => keyed::serve(core, admitted, key).await,
+        (Err(fault), key) => {
+            let now = core.clock.now();
+            let verdict = key.map_or(RunVerdict::NotRun, |key| {
+                core.keys.refusal_verdict(&key, now)
+            });
+            match fault {
+                EntryFault::Faulty(fault) => answer::keyed_fault(fault, verdict),
+                EntryFault::Refused(refusal) => answer::entry_refusal(&refusal, verdict),
+            }
+        }
+    }
+}
+
+/// Checks and admits a request, and reads its body.
+async fn admit(
+    core: &Rc<GateCore>,
+    service_name: &str,
+    target: &str,
+    request: &mut Request,
+) -> Result<AdmittedRequest, EntryFault> {
+    let came = core.clock.now();
+    let service = core.service(service_name);
+    let service = service.ok_or(CallerFault::UnknownService)?;
     let payload = request.take_payload();
     let head = ServiceRequest {
         method: request.method(),
@@ -36,26 +93,34 @@
         headers: &request.head().headers,
     };
     let document = service.document().document;
-    let terms = match RequestTerms::read(&document, &head, came) {
-        Ok(terms) => terms,
-        Err(fault) => return answer::fault(fault),
-    };
-    let mut span = match RequestSpan::enter(core, &service, &document, terms.class, came) {
-        Ok(span) => span,
-        Err(refusal) => {
-            let reason = answer::entry_reason(refusal.cause);
-            service.metrics().count_refusal(reason);
-            return answer::entry_refusal(&refusal);
-        }
-    };
+    let terms = RequestTerms::read(&document, &head, came)?;
+    let span = RequestSpan::enter(core, &service, &document, terms.class, came);
+    let span = span.map_err(|refusal| {
+        let reason = answer::entry_reason(refusal.cause);
+        service.metrics().count_refusal(reason);
+        EntryFault::Refused(refusal)
+    })?;
     let time = terms.deadline.since(came);
-    let body = match request::read_body(payload, core.settings.body_limit, time).await {
-        Ok(body) => body,
-        Err(fault) => return answer::fault(fault),
-    };
-    let prepared = terms.into_request(&document, &head, body);
-    match relay(core, &service, &prepared).await {
-        Ok(relayed) => answered(relayed, &prepared, span),
+    let body = request::read_body(payload, core.settings.body_limit, time).await?;
+    let request = terms.into_request(&document, &head, body);
+    Ok(AdmittedRequest {
+        service_name: document.service.clone(),
+        service,
+        request,
+        span,
+    })
+}
+
+/// Relays a request without a key.
+async fn relay_unkeyed(core: &GateCore, admitted: AdmittedRequest) -> Response<GateBody> {
+    let AdmittedRequest {
+        service,
+        request,
+        mut span,
+        ..
+    } = admitted;
+    match relay(core, &service, &request).await {
+        Ok(relayed) => answered(relayed, request.idempotent, span),
         Err(failure) => {
             span.set_verdict(failure.verdict.into());
             service.metrics().count_refusal(failure.kind.into());
@@ -85,14 +150,14 @@
 }
 
 /// The caller's answer from the server's.
-fn answered(
-    relayed: RelayAnswer<RelayBody, GateChooser, ggs_model::BootClock>,
-    request: &RelayRequest,
+pub(crate) fn answered(
+    relayed: GateAnswer,
+    idempotent: bool,
     mut span: RequestSpan,
 ) -> Response<GateBody> {
     let RelayAnswer { answer, hold } = relayed;
     let status = answer.head.status;
-    let verdict = answer_verdict(status, request.idempotent);
+    let verdict = answer_verdict(status, idempotent);
     span.set_verdict(if verdict == RunVerdict::Ran {
         "ran"
     } else {
@@ -100,9 +165,11 @@
     });
     let body = match answer.body {
         AnswerBody::Whole(bytes) => GateBody::whole(bytes),
-        AnswerBody::Streamed(body) => {
-            GateBody::Streamed(Box::new(StreamedBody { body, hold, span }))
-        }
+        AnswerBody::Streamed(body) => GateBody::Streamed(Box::new(StreamedBody {
+            body,
+            hold: Some(hold),
+            span,
+        })),
     };
     let mut response = Response::with_body(status, body);
     copy_headers(&answer.head.headers, response.headers_mut());
@@ -120,7 +187,7 @@
 }
 
 /// Copies the headers that are passed on to callers.
-fn copy_headers(from: &HeaderMap, to: &mut HeaderMap) {
+pub(crate) fn copy_headers(from: &HeaderMap, to: &mut HeaderMap) {
     for (name, value) in request::end_to_end(from) {
         if name.as_str() != HeaderNames::REQUEST_ID {
             to.append(name, value);
--- a/crates/gate/src/handle.rs
+++ b/crates/gate/src/handle.rs
@@ -99,13 +99,14 @@
     })
 }
 
-/// Closes idle server connections that are too old.
+/// Closes idle server connections that are too old, and forgets keys whose lives have ended.
 async fn sweep(core: Rc<GateCore>) {
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
-        core.transport
-            .pool()
-            .sweep(ggs_model::Clock::now(&core.clock));
+        let now = ggs_model::Clock::now(&core.clock);
+        core.transport.pool().sweep(now);
+        let entries = core.keys.sweep(now);
+        core.metrics.key_entries.set(entries as i64);
     }
 }
 
@@ -127,6 +128,7 @@
         // Receivers end with their tasks.
         let _ = self.stop.send(true);
         self.open.finished().await;
+        self.core.keys.finished().await;
         for task in &self.tasks {
             task.abort();
         }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -12,6 +12,8 @@
 mod entries;
 mod forward;
 mod handle;
+mod keyed;
+mod keys;
 mod listen;
 mod request;
 mod route;
--- a/crates/once/src/ledger.rs
+++ b/crates/once/src/ledger.rs
@@ -178,6 +178,15 @@
         }
     }
 
+    /// Whether the key is live and no request ran, runs or may have run under it.
+    pub fn is_unused(&mut self, key: &RequestKey, now: Moment) -> bool {
+        self.expire(now);
+        let live =
+            key.issuer == self.gate && self.live_from <= key.number && key.number < self.next;
+        live && self.issued_end(key.number) == Some(key.expires)
+            && !self.entries.contains_key(&key.number)
+    }
+
     /// Ends a run. A ticket that is dropped instead leaves its key refused until its life ends.
     #[expect(
         clippy::needless_pass_by_value,
