Use the operators' edit id in the document row

The model now has EditId and the operators' messages; the own id and answer types of ggs-follow go. cargo test -p ggs-follow -p ggs-peer passes.

--- a/crates/follow/src/edit.rs
+++ b/crates/follow/src/edit.rs
@@ -1,11 +1,10 @@
 //! Edits, and the table writes that accept them.
 
-use std::fmt;
 use std::hash::BuildHasher;
 use std::sync::Arc;
 
 use foldhash::quality::FixedState;
-use ggs_model::{DocumentRevision, ServiceDocument, ServiceName, VersionedDocument};
+use ggs_model::{DocumentRevision, EditId, ServiceDocument, ServiceName, VersionedDocument};
 use ggs_store::{RowCheck, RowPut, RowVersion, TableRow, TableWrite};
 use serde::Serialize;
 
@@ -13,51 +12,9 @@
     ChangeSet, DocumentRow, FollowError, HEAD_KEY, document_key, read_document_row, read_head,
 };
 
-/// Longest edit id, in characters.
-const MAX_EDIT_ID: usize = 64;
-
 /// Edits that a document row remembers, so that an edit sent again is recognised.
 const MAX_REMEMBERED_EDITS: usize = 16;
 
-/// Id of an edit, drawn by the operator's tool.
-///
-/// ```
-/// use ggs_follow::EditId;
-///
-/// assert!(EditId::new("a1-b2").is_ok());
-/// assert!(EditId::new("two words").is_err());
-/// ```
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct EditId(Arc<str>);
-
-impl EditId {
-    /// An id with this text.
-    ///
-    /// # Errors
-    ///
-    /// The text is empty, too long or has other characters than letters, digits, `-` and `_`.
-    pub fn new(text: &str) -> Result<Self, FollowError> {
-        let plain = |byte: u8| byte.is_ascii_alphanumeric() || byte == b'-' || byte == b'_';
-        if text.is_empty() || text.len() > MAX_EDIT_ID || !text.bytes().all(plain) {
-            return Err(FollowError::BadEditId {
-                text: text.to_owned(),
-            });
-        }
-        Ok(Self(Arc::from(text)))
-    }
-
-    /// The id's text.
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Display for EditId {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.0)
-    }
-}
-
 /// An operator's edit of one document.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DocumentEdit {
@@ -137,13 +94,11 @@
     let mut head = read_head(head_row)?;
     let current = document_row.map(read_document_row).transpose()?;
     let fingerprint = fingerprint(edit);
-    if let Some(earlier) = find_edit(current.as_ref(), &edit.id) {
+    if let Some(earlier) = find_edit(current.as_ref(), edit.id) {
         if earlier.fingerprint == fingerprint {
             return Ok(EditPlan::Accepted(earlier.revision));
         }
-        return Err(FollowError::EditIdReused {
-            id: edit.id.to_string(),
-        });
+        return Err(FollowError::EditIdReused { edit: edit.id });
     }
     if head.fleet < in_force {
         return Err(FollowError::HeadBehind {
@@ -188,7 +143,7 @@
 ) -> AcceptedDocument {
     let mut edits = current.map(|current| current.edits).unwrap_or_default();
     let accepted = AcceptedEdit {
-        id: edit.id.clone(),
+        id: edit.id,
         revision,
         fingerprint,
     };
@@ -204,8 +159,8 @@
 }
 
 /// The accepted edit with this id, if the row still remembers it.
-fn find_edit<'a>(current: Option<&'a AcceptedDocument>, id: &EditId) -> Option<&'a AcceptedEdit> {
-    current?.edits.iter().find(|edit| edit.id == *id)
+fn find_edit(current: Option<&AcceptedDocument>, id: EditId) -> Option<&AcceptedEdit> {
+    current?.edits.iter().find(|edit| edit.id == id)
 }
 
 /// A number that differs, all but surely, between edits with different content.
--- a/crates/follow/src/error.rs
+++ b/crates/follow/src/error.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use ggs_model::{DocumentRevision, ServiceName};
+use ggs_model::{DocumentRevision, EditId, ServiceName};
 
 /// Why documents could not be read or an edit could not be planned.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -28,22 +28,10 @@
         /// Fleet revision in force at this gate.
         in_force: DocumentRevision,
     },
-    /// The edit names one service in its address and another in its document.
-    WrongService {
-        /// The service in the address.
-        expected: ServiceName,
-        /// The service in the document.
-        found: ServiceName,
-    },
-    /// The edit id is empty, too long or has characters other than letters, digits, `-` and `_`.
-    BadEditId {
-        /// The text.
-        text: String,
-    },
     /// The edit id was used before for another document.
     EditIdReused {
         /// The id.
-        id: String,
+        edit: EditId,
     },
 }
 
@@ -62,17 +50,9 @@
                  was the table restored from a backup?",
                 head.0, in_force.0
             ),
-            Self::WrongService { expected, found } => write!(
-                formatter,
-                "document is for service \"{found}\", but was sent to service \"{expected}\""
-            ),
-            Self::BadEditId { text } => write!(
-                formatter,
-                "edit id \"{text}\" is not 1 to 64 letters, digits, \"-\" or \"_\""
-            ),
-            Self::EditIdReused { id } => write!(
+            Self::EditIdReused { edit } => write!(
                 formatter,
-                "edit id \"{id}\" was used before for another document; draw a new one"
+                "edit id {edit} was used before for another document; draw a new one"
             ),
         }
     }
--- a/crates/follow/src/lib.rs
+++ b/crates/follow/src/lib.rs
@@ -16,13 +16,12 @@
 mod error;
 mod wire;
 
-pub use accept::accept_edit;
+pub use accept::{AcceptOutcome, accept_edit};
 pub use book::{
     BookFreshness, BookOutcome, ChangeSet, DocumentBook, FleetDigest, HeadPlan, STALE_AFTER,
 };
-pub use edit::{AcceptedDocument, AcceptedEdit, DocumentEdit, EditId, EditPlan, plan_edit};
+pub use edit::{AcceptedDocument, AcceptedEdit, DocumentEdit, EditPlan, plan_edit};
 pub use error::FollowError;
 pub use wire::{
-    DocumentRow, DocumentsHead, EditAnswer, EditRequest, HEAD_KEY, document_key, read_document_row,
-    read_head,
+    DocumentRow, DocumentsHead, EditEntry, HEAD_KEY, document_key, read_document_row, read_head,
 };
--- a/crates/follow/src/wire.rs
+++ b/crates/follow/src/wire.rs
@@ -1,13 +1,13 @@
-//! JSON forms of rows, edits and answers.
+//! JSON forms of rows.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use ggs_model::{DocumentRevision, ServiceDocument, ServiceName, VersionedDocument};
+use ggs_model::{DocumentRevision, EditId, ServiceDocument, ServiceName, VersionedDocument};
 use ggs_store::TableRow;
 use serde::{Deserialize, Serialize};
 
-use crate::{AcceptedDocument, AcceptedEdit, DocumentEdit, EditId, FollowError};
+use crate::{AcceptedDocument, AcceptedEdit, FollowError};
 
 /// Key of the head row.
 pub const HEAD_KEY: &str = "documents/head";
@@ -49,7 +49,7 @@
 #[serde(deny_unknown_fields)]
 pub struct EditEntry {
     /// The edit's id.
-    id: String,
+    id: EditId,
     /// The revision that it was accepted as.
     revision: DocumentRevision,
     /// Fingerprint of its document, in hexadecimal digits.
@@ -59,7 +59,7 @@
 impl From<&AcceptedDocument> for DocumentRow {
     fn from(accepted: &AcceptedDocument) -> Self {
         let entry = |edit: &AcceptedEdit| EditEntry {
-            id: edit.id.as_str().to_owned(),
+            id: edit.id,
             revision: edit.revision,
             fingerprint: format!("{:016x}", edit.fingerprint),
         };
@@ -75,14 +75,13 @@
     type Error = FollowError;
 
     fn try_from(entry: EditEntry) -> Result<Self, Self::Error> {
-        let id = EditId::new(&entry.id)?;
         let fingerprint = u64::from_str_radix(&entry.fingerprint, 16);
         let fingerprint = fingerprint.map_err(|error| FollowError::BadRow {
-            key: format!("edit {id}"),
+            key: format!("edit {}", entry.id),
             cause: error.to_string(),
         })?;
         Ok(Self {
-            id,
+            id: entry.id,
             revision: entry.revision,
             fingerprint,
         })
@@ -140,58 +139,3 @@
         cause: error.to_string(),
     }
 }
-
-/// Body of `PUT /v1/documents/{service}`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct EditRequest {
-    /// Id of the edit; the same id sent again gets the same answer.
-    pub edit: String,
-    /// Revision of the document that the operator started from; 0 for a new service.
-    pub base: DocumentRevision,
-    /// The whole new document.
-    pub document: ServiceDocument,
-}
-
-impl TryFrom<EditRequest> for DocumentEdit {
-    type Error = FollowError;
-
-    fn try_from(request: EditRequest) -> Result<Self, Self::Error> {
-        Ok(Self {
-            id: EditId::new(&request.edit)?,
-            base: request.base,
-            document: Arc::new(request.document),
-        })
-    }
-}
-
-/// Answer to an edit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case", deny_unknown_fields)]
-pub enum EditAnswer {
-    /// The edit was committed (now or by an earlier try) as this revision.
-    Accepted {
-        /// The revision.
-        revision: DocumentRevision,
-    },
-    /// Another edit came first; nothing was written.
-    Conflict {
-        /// The document as it stands; none if the service has no document.
-        current: Option<VersionedDocument>,
-    },
-    /// Nothing was written, and sending the same edit again cannot change that.
-    Refused {
-        /// What is wrong.
-        reason: String,
-    },
-    /// Nothing was written; the platform is down or busy. Send the same edit again later.
-    Unavailable {
-        /// What is wrong.
-        reason: String,
-    },
-    /// The edit may have been committed. Send the same edit again to learn.
-    Unknown {
-        /// What is wrong.
-        reason: String,
-    },
-}
