--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -3,18 +3,21 @@
 //! - [`PeerTable`]: live gates by lease, with a limit on how many are withdrawn at once.
 //! - [`LeavingSet`]: server runs that take no new work.
 //! - [`ServerRoster`]: the lagging host list joined with the leaving set.
+//! - [`order_entries`]: the addresses that a caller is told to use.
 //!
 //! All three are pure: events and the present [`Moment`](ggs_model::Moment) go in, changes come out.
 
 mod allowance;
+mod entries;
 mod leaving;
 mod peers;
 mod roster;
 
 pub use allowance::ShareAllowance;
+pub use entries::order_entries;
 pub use leaving::{LeavingSet, MAX_WORDS, REPEAT_FOR};
 pub use peers::{
-    GateRecord, GateState, HEARTBEAT_EVERY, LEASE, PeerNews, PeerSight, PeerTable, PeerTiming,
-    PeerView, TickReport,
+    GateRecord, GateState, HEARTBEAT_EVERY, HandedOut, LEASE, PeerNews, PeerSight, PeerTable,
+    PeerTiming, PeerView, TickReport,
 };
 pub use roster::{ListNews, ServerRoster, ServerView};
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -121,6 +121,15 @@
     pub heard: Moment,
 }
 
+/// Gates to hand out to callers.
+#[derive(Clone, Debug, Default)]
+pub struct HandedOut<'a> {
+    /// Gates to use, this gate among them unless it drains.
+    pub live: Vec<&'a GateRecord>,
+    /// Gates to use only if the others fail.
+    pub unsure: Vec<&'a GateRecord>,
+}
+
 /// One known gate.
 #[derive(Clone, Debug)]
 struct PeerEntry {
@@ -255,25 +264,42 @@
         })
     }
 
-    /// Gates to hand out to callers: the live ones, this gate among them unless it drains, and then
-    /// those that are unsure.
-    pub fn handed_out(&self, now: Moment) -> Vec<&GateRecord> {
-        let mut records = Vec::new();
+    /// Gates to hand out to callers.
+    ///
+    /// A gate that suspects itself hands out on what it knew: were the others put last, all callers
+    /// that ask it would move to it at once.
+    pub fn handed_out(&self, now: Moment) -> HandedOut<'_> {
+        let mut handed = HandedOut::default();
         if self.own.state == GateState::Live {
-            records.push(&self.own);
+            handed.live.push(&self.own);
         }
-        let live = self.views(now).filter(|view| view.sight == PeerSight::Live);
-        records.extend(live.map(|view| view.record));
+        let suspect = self.is_suspect(now);
+        let mut unsure = Vec::new();
         for view in self.views(now) {
-            let known = records
+            match view.sight {
+                PeerSight::Live => handed.live.push(view.record),
+                PeerSight::Unsure if view.record.state == GateState::Live => {
+                    unsure.push(view.record);
+                }
+                _ => {}
+            }
+        }
+        for record in unsure {
+            if handed
+                .live
                 .iter()
-                .any(|record| record.callers == view.record.callers);
-            let wanted = view.record.state == GateState::Live;
-            if view.sight == PeerSight::Unsure && wanted && !known {
-                records.push(view.record);
+                .any(|live| live.callers == record.callers)
+            {
+                continue;
             }
+            let list = if suspect {
+                &mut handed.live
+            } else {
+                &mut handed.unsure
+            };
+            list.push(record);
         }
-        records
+        handed
     }
 
     /// How this gate sees an entry.
--- a/crates/member/tests/peers.rs
+++ b/crates/member/tests/peers.rs
@@ -30,11 +30,9 @@
 }
 
 fn hosts(table: &PeerTable, now: Moment) -> Vec<String> {
-    let records = table.handed_out(now);
-    records
-        .iter()
-        .map(|record| record.gate.host.to_string())
-        .collect()
+    let handed = table.handed_out(now);
+    let records = handed.live.iter().chain(&handed.unsure);
+    records.map(|record| record.gate.host.to_string()).collect()
 }
 
 /// Ticks from `from` to `upto`, with heartbeats of `beating` once a second; all withdrawals by time.
