--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -12,8 +12,8 @@
 use std::time::{Duration, Instant};
 
 use awc::http::Method;
-use ggs_follow::{DocumentEdit, EditAnswer, EditId, accept_edit};
-use ggs_model::{DataCentre, DocumentRevision, HostName, ServiceDocument};
+use ggs_follow::{AcceptOutcome, DocumentEdit, accept_edit};
+use ggs_model::{DataCentre, DocumentRevision, EditId, HostName, ServiceDocument};
 use ggs_settings::GateSettings;
 use ggs_store::HttpPlatform;
 use rustix::process::{Pid, Signal, kill_process};
@@ -262,12 +262,12 @@
 pub async fn accept_document(platform: &str, document: ServiceDocument) {
     let store = HttpPlatform::builder(platform).build();
     let edit = DocumentEdit {
-        id: EditId::new(document.service.as_str()).expect("id"),
+        id: EditId(1),
         base: DocumentRevision(0),
         document: Arc::new(document),
     };
-    let (answer, _) = accept_edit(&store, &edit, DocumentRevision(0)).await;
-    assert!(matches!(answer, EditAnswer::Accepted { .. }), "{answer:?}");
+    let outcome = accept_edit(&store, &edit, DocumentRevision(0)).await;
+    assert!(matches!(outcome, AcceptOutcome::Accepted(_)), "{outcome:?}");
 }
 
 /// A whole answer.
