--- a/crates/relay/src/failure.rs
+++ b/crates/relay/src/failure.rs
@@ -52,6 +52,16 @@
         }
     }
 
+    /// Whether the connection and not the server is the likely cause: it had been kept from an earlier
+    /// request and then broke or went silent.
+    pub const fn suspects_path(&self) -> bool {
+        let path = matches!(
+            self.kind,
+            FailureKind::ConnectionLost | FailureKind::AnswerTimeout
+        );
+        self.reused && path
+    }
+
     /// What is known of the attempt's effect.
     pub const fn verdict(&self) -> RunVerdict {
         match self.kind {
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -71,11 +71,7 @@
     if !facts.idempotent || !facts.may_retry {
         return NextStep::GiveUp;
     }
-    let path_suspected = matches!(
-        failure.kind,
-        FailureKind::ConnectionLost | FailureKind::AnswerTimeout
-    );
-    if failure.reused && path_suspected {
+    if failure.suspects_path() {
         return NextStep::SameServer { costs_retry: true };
     }
     NextStep::OtherServer { costs_retry: true }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -84,6 +84,15 @@
         Some((place, found))
     }
 
+    /// Closes the idle connections to `address`.
+    ///
+    /// Whatever lost track of one connection between two hosts has often lost track of the others.
+    pub fn discard_idle(&self, address: SocketAddr) {
+        if let Some(entry) = self.state.entries.borrow_mut().get_mut(&address) {
+            entry.idle.clear();
+        }
+    }
+
     /// Connections held to `address`, idle ones included.
     pub fn held(&self, address: SocketAddr) -> usize {
         let entries = self.state.entries.borrow();
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -333,10 +333,10 @@
 
 /// How a failed attempt counts for its server.
 fn outcome_of(failure: AttemptFailure) -> AttemptOutcome {
+    if failure.suspects_path() {
+        return AttemptOutcome::PathLost;
+    }
     match failure.kind {
-        FailureKind::ConnectionLost | FailureKind::AnswerTimeout if failure.reused => {
-            AttemptOutcome::PathLost
-        }
         FailureKind::NoConnection | FailureKind::DeadlinePassed => AttemptOutcome::Abandoned,
         _ => AttemptOutcome::Failed,
     }
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -169,6 +169,19 @@
     reused: bool,
 }
 
+impl AttemptStage {
+    /// The failure of an attempt whose time has run out.
+    const fn timed_out(self) -> AttemptFailure {
+        let Self { sent, reused } = self;
+        let kind = if sent {
+            FailureKind::AnswerTimeout
+        } else {
+            FailureKind::ConnectFailed
+        };
+        AttemptFailure { kind, sent, reused }
+    }
+}
+
 impl ServerTransport for HttpTransport {
     type Body = RelayBody;
 
@@ -184,15 +197,11 @@
         }
         let stage = Cell::new(AttemptStage::default());
         let answer = timeout(limit, self.exchange(server, request, plan, &stage)).await;
-        answer.unwrap_or_else(|_| {
-            let AttemptStage { sent, reused } = stage.get();
-            let kind = if sent {
-                FailureKind::AnswerTimeout
-            } else {
-                FailureKind::ConnectFailed
-            };
-            Err(AttemptFailure { kind, sent, reused })
-        })
+        let answer = answer.unwrap_or_else(|_| Err(stage.get().timed_out()));
+        if answer.as_ref().is_err_and(AttemptFailure::suspects_path) {
+            self.pool.discard_idle(server.address);
+        }
+        answer
     }
 }
 
