Follow documents, servers and gates in the entry daemon

The gate reads the table's head about once a second, pushes and pulls change sets between gates, answers PUT and GET of documents and the status, hands out live gates, and takes signs of leaving from the host list, servers' answers and other gates. The host list is read every 1 s plus 20 ms for each listed server: at 740 servers a read a second would by itself pass the bandwidth for control.

--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -7,12 +7,16 @@
 
 use foldhash::{HashMap, HashMapExt, HashSet};
 use ggs_limit::{AdmissionLimits, GateCapacity, RetryAllowance};
-use ggs_model::{BootClock, GateId, ServerEntry, ServiceName, VersionedDocument};
+use ggs_model::{BootClock, Clock, GateId, ServiceName, VersionedDocument};
 use ggs_observe::{EventLog, GateMetrics, ServiceMetrics};
 use ggs_pick::{ServerChooser, ServerSeed, SignalChooser};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_settings::GateSettings;
+use ggs_store::HttpPlatform;
 
+use crate::documents::FollowedDocuments;
+use crate::peers::GatePeers;
+use crate::servers::GateServers;
 use crate::transport::GateTransport;
 
 /// The policy that gates use.
@@ -40,12 +44,18 @@
     pub(crate) limits: RefCell<AdmissionLimits>,
     /// Services by name.
     services: RefCell<HashMap<ServiceName, Rc<ServiceCore>>>,
-    /// The latest host list.
-    listed: RefCell<Vec<ServerEntry>>,
+    /// The platform's services.
+    pub(crate) platform: HttpPlatform,
+    /// Documents and how far they reach.
+    pub(crate) documents: FollowedDocuments,
+    /// Servers of all services.
+    pub(crate) servers: GateServers,
+    /// The other gates.
+    pub(crate) peers: GatePeers,
     /// Whether the gate finishes its work and ends.
     draining: Cell<bool>,
-    /// The address that callers reach, once bound.
-    caller_address: Cell<SocketAddr>,
+    /// The address that callers reach.
+    caller_address: SocketAddr,
 }
 
 /// State of one service at one gate.
@@ -75,12 +85,13 @@
 
 impl GateCore {
     /// A core that knows no service yet.
-    pub(crate) fn new(settings: GateSettings, id: GateId, log: EventLog) -> Rc<Self> {
+    pub(crate) fn new(settings: GateSettings, peers: GatePeers, log: EventLog) -> Rc<Self> {
         let pool = ConnectionPool::new(ConnectionOptions::default());
-        let caller_address = Cell::new(settings.listen_callers);
+        let own = peers.own();
+        let platform = HttpPlatform::builder(&settings.platform).build();
         Rc::new(Self {
             settings,
-            id,
+            id: own.gate,
             clock: BootClock,
             log,
             metrics: GateMetrics::new(),
@@ -90,9 +101,12 @@
                 partners: 1,
             })),
             services: RefCell::new(HashMap::new()),
-            listed: RefCell::new(Vec::new()),
+            platform,
+            documents: FollowedDocuments::default(),
+            servers: GateServers::default(),
             draining: Cell::new(false),
-            caller_address,
+            caller_address: own.callers,
+            peers,
         })
     }
 
@@ -157,9 +171,8 @@
         self.limits.borrow_mut().set_capacity(capacity);
     }
 
-    /// Takes a new host list.
-    pub(crate) fn set_listed(&self, listed: Vec<ServerEntry>) {
-        *self.listed.borrow_mut() = listed;
+    /// Gives every service's chooser the servers that take new work.
+    pub(crate) fn refresh_all_servers(&self) {
         let services: Vec<_> = self.services.borrow().values().map(Rc::clone).collect();
         for service in services {
             self.refresh_servers(&service);
@@ -169,18 +182,18 @@
     /// Gives a service's chooser the servers that take new work.
     fn refresh_servers(&self, service: &ServiceCore) {
         let document = Arc::clone(&service.document.borrow().document);
-        let listed = self.listed.borrow();
-        let open = listed.iter().filter(|entry| {
-            entry.service == document.service && entry.state == ggs_model::ServerState::Live
-        });
-        let seeds: Vec<ServerSeed> = open
-            .map(|entry| ServerSeed {
-                server: entry.server,
+        let usable = self.servers.usable(&document.service);
+        let seeds: Vec<ServerSeed> = usable
+            .iter()
+            .map(|view| ServerSeed {
+                server: view.server,
                 slots: document.slots,
-                near: entry.data_centre == self.settings.data_centre,
+                near: view.data_centre == self.settings.data_centre,
             })
             .collect();
-        let now = ggs_model::Clock::now(&self.clock);
+        let leaving = self.servers.leaving_count(&document.service);
+        service.metrics().set_servers(seeds.len(), leaving);
+        let now = self.clock.now();
         service.chooser.borrow_mut().replace_servers(&seeds, now);
     }
 
@@ -192,15 +205,11 @@
     /// Starts to drain.
     pub(crate) fn set_draining(&self) {
         self.draining.set(true);
+        self.peers.drain();
     }
 
     /// The address that callers reach.
     pub(crate) fn caller_address(&self) -> SocketAddr {
-        self.caller_address.get()
-    }
-
-    /// Sets the address that callers reach, after binding it.
-    pub(crate) fn set_caller_address(&self, address: SocketAddr) {
-        self.caller_address.set(address);
+        self.caller_address
     }
 }
--- a/crates/gate/src/entries.rs
+++ b/crates/gate/src/entries.rs
@@ -1,6 +1,7 @@
 //! Entry answers: which addresses a caller should use for a service.
 
 use actix_http::{Response, StatusCode};
+use ggs_model::Clock;
 use serde::Serialize;
 
 use crate::answer::{self, CallerFault};
@@ -22,7 +23,9 @@
     if core.service(service).is_none() {
         return answer::fault(CallerFault::UnknownService);
     }
-    let addresses = vec![core.caller_address()];
+    let now = core.clock.now();
+    let near = &core.settings.data_centre;
+    let addresses = core.peers.entries(&service.into(), near, now);
     let ttl_ms = core.settings.entry_ttl_ms;
     answer::json(
         StatusCode::OK,
--- a/crates/gate/src/handle.rs
+++ b/crates/gate/src/handle.rs
@@ -6,17 +6,18 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ggs_member::{GateRecord, GateState};
 use ggs_model::{GateId, Incarnation};
 use ggs_observe::{EventLog, LogEvent};
 use ggs_settings::GateSettings;
-use ggs_store::HttpPlatform;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::core::GateCore;
 use crate::listen::{self, OpenCallers};
-use crate::upstream;
+use crate::peers::{self, GatePeers};
+use crate::{documents, servers};
 
 /// Time beyond an entry answer's life for which a draining gate still accepts callers.
 const DRAIN_MARGIN: Duration = Duration::from_millis(500);
@@ -63,27 +64,25 @@
 ///
 /// Fails when an address cannot be bound.
 pub async fn start(settings: GateSettings, log: EventLog) -> Result<GateHandle, StartError> {
-    let address = settings.listen_callers;
-    let bound = TcpListener::bind(address).await;
-    let listener = bound.map_err(|cause| StartError::Bind { address, cause })?;
-    let incarnation = Incarnation(rand::random());
-    let id = GateId {
-        host: settings.host.clone(),
-        incarnation,
-    };
-    let platform = HttpPlatform::builder(&settings.platform).build();
-    let core = GateCore::new(settings, id, log);
-    core.set_caller_address(listener.local_addr().unwrap_or(address));
+    let callers = bind(settings.listen_callers).await?;
+    let peers = bind(settings.listen_peers).await?;
+    let record = own_record(&settings, &callers, &peers);
+    let (peers, events) = GatePeers::start(record, peers);
+    let core = GateCore::new(settings, peers, log);
     let (stop, stopped) = watch::channel(false);
     let open = OpenCallers::default();
     let tasks = vec![
         actix_rt::spawn(listen::accept(
             Rc::clone(&core),
-            listener,
+            callers,
             open.clone(),
             stopped,
         )),
-        actix_rt::spawn(upstream::follow(Rc::clone(&core), platform)),
+        actix_rt::spawn(documents::follow_table(Rc::clone(&core))),
+        actix_rt::spawn(servers::follow_list(Rc::clone(&core))),
+        actix_rt::spawn(servers::follow_signs(Rc::clone(&core))),
+        actix_rt::spawn(peers::serve_events(Rc::clone(&core), events)),
+        actix_rt::spawn(peers::keep_time(Rc::clone(&core))),
         actix_rt::spawn(sweep(Rc::clone(&core))),
     ];
     let pairs = slog::o!(
@@ -99,6 +98,27 @@
     })
 }
 
+/// Binds an address.
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|cause| StartError::Bind { address, cause })
+}
+
+/// What this run of the gate says of itself.
+fn own_record(settings: &GateSettings, callers: &TcpListener, peers: &TcpListener) -> GateRecord {
+    let gate = GateId {
+        host: settings.host.clone(),
+        incarnation: Incarnation(rand::random()),
+    };
+    GateRecord {
+        gate,
+        data_centre: settings.data_centre.clone(),
+        callers: callers.local_addr().unwrap_or(settings.listen_callers),
+        peers: peers.local_addr().unwrap_or(settings.listen_peers),
+        state: GateState::Live,
+    }
+}
+
 /// Closes idle server connections that are too old.
 async fn sweep(core: Rc<GateCore>) {
     loop {
@@ -127,6 +147,7 @@
         // Receivers end with their tasks.
         let _ = self.stop.send(true);
         self.open.finished().await;
+        self.core.peers.say_goodbye().await;
         for task in &self.tasks {
             task.abort();
         }
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -3,12 +3,12 @@
 use std::rc::Rc;
 
 use actix_http::{ConnectionType, Method, Request, Response, StatusCode};
-use ggs_model::HeaderNames;
+use ggs_model::{HeaderNames, ServiceName};
 
 use crate::answer::{self, CallerFault};
 use crate::body::GateBody;
 use crate::core::GateCore;
-use crate::{entries, forward};
+use crate::{edits, entries, forward, status};
 
 /// Answers one request of a caller or an operator.
 pub(crate) async fn serve(core: &Rc<GateCore>, request: Request) -> Response<GateBody> {
@@ -27,6 +27,7 @@
     let uri = request.uri().clone();
     let path = uri.path();
     let is_get = request.method() == Method::GET;
+    let is_put = request.method() == Method::PUT;
     if let Some(rest) = path.strip_prefix("/s/") {
         let name = rest.split('/').next().unwrap_or(rest);
         let whole = uri.path_and_query().map_or(path, |target| target.as_str());
@@ -40,8 +41,16 @@
     }
     match path.split('/').skip(1).collect::<Vec<_>>().as_slice() {
         ["v1", "entries", service] if is_get => entries::serve(core, service),
+        ["v1", "documents", service] if is_get => edits::show(core, service),
+        ["v1", "documents", service] if is_put => {
+            let service = ServiceName::new(service);
+            edits::accept(core, service, request).await
+        }
+        ["v1", "status"] if is_get => status::serve(core),
         ["metrics"] if is_get => metrics(core),
-        ["v1", "entries", _] | ["metrics"] => answer::fault(CallerFault::BadMethod),
+        ["v1", "entries" | "documents", _] | ["v1", "status"] | ["metrics"] => {
+            answer::fault(CallerFault::BadMethod)
+        }
         _ => answer::fault(CallerFault::UnknownPath),
     }
 }
--- a/crates/gate/src/transport.rs
+++ b/crates/gate/src/transport.rs
@@ -54,10 +54,6 @@
     }
 
     /// Waits for signs and takes them.
-    #[expect(
-        dead_code,
-        reason = "the task that takes signs lands with the exchange between gates"
-    )]
     pub(crate) async fn take_signs(&self) -> Vec<ServerSign> {
         loop {
             let signs = std::mem::take(&mut *self.signs.borrow_mut());
--- a/crates/member/src/roster.rs
+++ b/crates/member/src/roster.rs
@@ -133,19 +133,38 @@
         first
     }
 
+    /// Number of a service's servers that are leaving.
+    pub fn leaving_count(&self, service: &ServiceName) -> usize {
+        let Some(roster) = self.services.get(service) else {
+            return 0;
+        };
+        let views = roster
+            .servers
+            .iter()
+            .map(|(address, entry)| view(*address, entry));
+        views
+            .filter(|view| self.leaving.contains(&view.server))
+            .count()
+    }
+
+    /// Whether the roster has no server.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
     /// Notes the run that an answer named, so that a restarted server is used again before the list
     /// shows its new run. A run that is leaving never takes the place of another.
-    pub fn saw_run(&mut self, service: &ServiceName, server: ServerId) {
+    pub fn saw_run(&mut self, server: ServerId) {
         if self.leaving.contains(&server) {
             return;
         }
-        let roster = self.services.get_mut(service);
-        let entry = roster.and_then(|roster| roster.servers.get_mut(&server.address));
-        if let Some(entry) = entry
-            && entry.current != server.incarnation
-        {
-            entry.current = server.incarnation;
-            self.generation += 1;
+        for roster in self.services.values_mut() {
+            if let Some(entry) = roster.servers.get_mut(&server.address)
+                && entry.current != server.incarnation
+            {
+                entry.current = server.incarnation;
+                self.generation += 1;
+            }
         }
     }
 
--- a/crates/member/tests/leaving.rs
+++ b/crates/member/tests/leaving.rs
@@ -157,7 +157,7 @@
                 Word(run) => {
                     roster.mark_leaving(server(0, run), now);
                 }
-                Answer(run) => roster.saw_run(&ServiceName::new("roster"), server(0, run)),
+                Answer(run) => roster.saw_run(server(0, run)),
             }
         }
         let expected: Vec<_> = case.usable.map(|run| server(0, run)).into_iter().collect();
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -34,14 +34,38 @@
     DocumentInForce = 200,
     /// A document from the platform could not be read.
     DocumentInvalid = 201,
+    /// The documents may be out of date.
+    DocumentsStale = 202,
+    /// The documents are known to be the newest again.
+    DocumentsFresh = 203,
     /// A platform call failed.
     PlatformFailed = 300,
     /// Platform calls succeed again.
     PlatformRecovered = 301,
+    /// A host list lacks more servers than are dropped at once.
+    HostListShrunken = 302,
+    /// A server is leaving.
+    ServerLeaving = 303,
     /// A request failed with a verdict.
     RequestFailed = 400,
     /// A caller's connection broke a rule of the protocol.
     CallerConnectionFailed = 401,
+    /// Another gate was heard for the first time or again.
+    GateJoined = 500,
+    /// Another gate said goodbye.
+    GateLeft = 501,
+    /// Another gate was not heard for a lease and is no longer handed out.
+    GateWithdrawn = 502,
+    /// This gate lost sight of most others.
+    GatesLost = 503,
+    /// This gate sees most others again.
+    GatesSeen = 504,
+    /// This gate did not run for longer than it should.
+    GateWoke = 505,
+    /// A connection between gates ended or could not be made.
+    PeerLinkEnded = 506,
+    /// Something that is not a gate of this version spoke on a connection between gates.
+    PeerLinkRejected = 507,
 }
 
 impl LogEvent {
@@ -59,13 +83,26 @@
     pub const fn level(self) -> LogLevel {
         match self {
             Self::BindFailed | Self::SettingsInvalid | Self::DocumentInvalid => LogLevel::Error,
-            Self::PlatformFailed => LogLevel::Warning,
+            Self::DocumentsStale
+            | Self::PlatformFailed
+            | Self::HostListShrunken
+            | Self::GateWithdrawn
+            | Self::GatesLost
+            | Self::GateWoke
+            | Self::PeerLinkRejected => LogLevel::Warning,
             Self::GateStarted
             | Self::GateDraining
             | Self::GateStopped
             | Self::DocumentInForce
-            | Self::PlatformRecovered => LogLevel::Info,
-            Self::RequestFailed | Self::CallerConnectionFailed => LogLevel::Debug,
+            | Self::DocumentsFresh
+            | Self::PlatformRecovered
+            | Self::ServerLeaving
+            | Self::GateJoined
+            | Self::GateLeft
+            | Self::GatesSeen => LogLevel::Info,
+            Self::RequestFailed | Self::CallerConnectionFailed | Self::PeerLinkEnded => {
+                LogLevel::Debug
+            }
         }
     }
 }
