--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -15,6 +15,7 @@
 use ggs_store::HttpPlatform;
 
 use crate::documents::FollowedDocuments;
+use crate::keys::KeyDesk;
 use crate::peers::GatePeers;
 use crate::servers::GateServers;
 use crate::transport::GateTransport;
@@ -40,6 +41,8 @@
     pub(crate) metrics: GateMetrics,
     /// Makes attempts at servers.
     pub(crate) transport: GateTransport,
+    /// Keys that this run of the gate issued.
+    pub(crate) keys: KeyDesk,
     /// Admits requests.
     pub(crate) limits: RefCell<AdmissionLimits>,
     /// Services by name.
@@ -89,8 +92,10 @@
         let pool = ConnectionPool::new(ConnectionOptions::default());
         let own = peers.own();
         let platform = HttpPlatform::builder(&settings.platform).build();
+        let keys = KeyDesk::new(&settings, own.gate.clone());
         Rc::new(Self {
             settings,
+            keys,
             id: own.gate,
             clock: BootClock,
             log,
@@ -197,6 +202,11 @@
         service.chooser.borrow_mut().replace_servers(&seeds, now);
     }
 
+    /// The address for callers of another gate that lives.
+    pub(crate) fn caller_of(&self, gate: &GateId) -> Option<SocketAddr> {
+        self.peers.address_of(gate, self.clock.now())
+    }
+
     /// Whether the gate finishes its work and ends.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.get()
--- a/crates/gate/src/handle.rs
+++ b/crates/gate/src/handle.rs
@@ -119,13 +119,14 @@
     }
 }
 
-/// Closes idle server connections that are too old.
+/// Closes idle server connections that are too old, and forgets keys whose lives have ended.
 async fn sweep(core: Rc<GateCore>) {
     loop {
         tokio::time::sleep(SWEEP_PERIOD).await;
-        core.transport
-            .pool()
-            .sweep(ggs_model::Clock::now(&core.clock));
+        let now = ggs_model::Clock::now(&core.clock);
+        core.transport.pool().sweep(now);
+        let entries = core.keys.sweep(now);
+        core.metrics.key_entries.set(entries as i64);
     }
 }
 
@@ -147,6 +148,7 @@
         // Receivers end with their tasks.
         let _ = self.stop.send(true);
         self.open.finished().await;
+        self.core.keys.finished().await;
         self.core.peers.say_goodbye().await;
         for task in &self.tasks {
             task.abort();
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -14,6 +14,8 @@
 mod entries;
 mod forward;
 mod handle;
+mod keyed;
+mod keys;
 mod listen;
 mod peers;
 mod request;
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -100,10 +100,6 @@
         self.node.send_all(message);
     }
 
-    #[expect(
-        dead_code,
-        reason = "requests with a key of another gate land with the key ledger"
-    )]
     /// The caller address of a live or draining gate, for requests that only that run may serve.
     pub(crate) fn address_of(&self, gate: &GateId, now: Moment) -> Option<SocketAddr> {
         let table = self.table.borrow();
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -8,7 +8,7 @@
 use crate::answer::{self, CallerFault};
 use crate::body::GateBody;
 use crate::core::GateCore;
-use crate::{edits, entries, forward, status};
+use crate::{edits, entries, forward, keyed, status};
 
 /// Answers one request of a caller or an operator.
 pub(crate) async fn serve(core: &Rc<GateCore>, request: Request) -> Response<GateBody> {
@@ -28,6 +28,7 @@
     let path = uri.path();
     let is_get = request.method() == Method::GET;
     let is_put = request.method() == Method::PUT;
+    let is_post = request.method() == Method::POST;
     if let Some(rest) = path.strip_prefix("/s/") {
         let name = rest.split('/').next().unwrap_or(rest);
         let whole = uri.path_and_query().map_or(path, |target| target.as_str());
@@ -46,9 +47,10 @@
             let service = ServiceName::new(service);
             edits::accept(core, service, request).await
         }
+        ["v1", "keys", service] if is_post => keyed::issue(core, service),
         ["v1", "status"] if is_get => status::serve(core),
         ["metrics"] if is_get => metrics(core),
-        ["v1", "entries" | "documents", _] | ["v1", "status"] | ["metrics"] => {
+        ["v1", "entries" | "documents" | "keys", _] | ["v1", "status"] | ["metrics"] => {
             answer::fault(CallerFault::BadMethod)
         }
         _ => answer::fault(CallerFault::UnknownPath),
