--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -260,10 +260,9 @@
 
 /// Writes a service's first document into the platform's table.
 pub async fn accept_document(platform: &str, document: ServiceDocument) {
-    static NEXT: AtomicU32 = AtomicU32::new(1);
     let store = HttpPlatform::builder(platform).build();
     let edit = DocumentEdit {
-        id: EditId(NEXT.fetch_add(1, Ordering::Relaxed).into()),
+        id: EditId(1),
         base: DocumentRevision(0),
         document: Arc::new(document),
     };
