--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -7,12 +7,17 @@
 
 use foldhash::{HashMap, HashMapExt, HashSet};
 use ggs_limit::{AdmissionLimits, GateCapacity, RetryAllowance};
-use ggs_model::{BootClock, GateId, ServerEntry, ServiceName, VersionedDocument};
-use ggs_observe::{EventLog, GateMetrics};
+use ggs_model::{BootClock, Clock, GateId, ServiceName, VersionedDocument};
+use ggs_observe::{EventLog, GateMetrics, ServiceMetrics};
 use ggs_pick::{ServerChooser, ServerSeed, SignalChooser};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_settings::GateSettings;
+use ggs_store::HttpPlatform;
 
+use crate::documents::FollowedDocuments;
+use crate::keys::KeyDesk;
+use crate::peers::GatePeers;
+use crate::servers::GateServers;
 use crate::transport::GateTransport;
 
 /// The policy that gates use.
@@ -36,16 +41,24 @@
     pub(crate) metrics: GateMetrics,
     /// Makes attempts at servers.
     pub(crate) transport: GateTransport,
+    /// Keys that this run of the gate issued.
+    pub(crate) keys: KeyDesk,
     /// Admits requests.
     pub(crate) limits: RefCell<AdmissionLimits>,
     /// Services by name.
     services: RefCell<HashMap<ServiceName, Rc<ServiceCore>>>,
-    /// The latest host list.
-    listed: RefCell<Vec<ServerEntry>>,
+    /// The platform's services.
+    pub(crate) platform: HttpPlatform,
+    /// Documents and how far they reach.
+    pub(crate) documents: FollowedDocuments,
+    /// Servers of all services.
+    pub(crate) servers: GateServers,
+    /// The other gates.
+    pub(crate) peers: GatePeers,
     /// Whether the gate finishes its work and ends.
     draining: Cell<bool>,
-    /// The address that callers reach, once bound.
-    caller_address: Cell<SocketAddr>,
+    /// The address that callers reach.
+    caller_address: SocketAddr,
 }
 
 /// State of one service at one gate.
@@ -53,6 +66,8 @@
 pub(crate) struct ServiceCore {
     /// The document in force.
     document: RefCell<VersionedDocument>,
+    /// The service's metrics; replaced when another partner takes the service over.
+    metrics: RefCell<Rc<ServiceMetrics>>,
     /// Chooses servers.
     pub(crate) chooser: Rc<RefCell<GateChooser>>,
     /// Grants retries.
@@ -64,16 +79,24 @@
     pub(crate) fn document(&self) -> VersionedDocument {
         self.document.borrow().clone()
     }
+
+    /// The service's metrics.
+    pub(crate) fn metrics(&self) -> Rc<ServiceMetrics> {
+        Rc::clone(&self.metrics.borrow())
+    }
 }
 
 impl GateCore {
     /// A core that knows no service yet.
-    pub(crate) fn new(settings: GateSettings, id: GateId, log: EventLog) -> Rc<Self> {
+    pub(crate) fn new(settings: GateSettings, peers: GatePeers, log: EventLog) -> Rc<Self> {
         let pool = ConnectionPool::new(ConnectionOptions::default());
-        let caller_address = Cell::new(settings.listen_callers);
+        let own = peers.own();
+        let platform = HttpPlatform::builder(&settings.platform).build();
+        let keys = KeyDesk::new(&settings, own.gate.clone());
         Rc::new(Self {
             settings,
-            id,
+            keys,
+            id: own.gate,
             clock: BootClock,
             log,
             metrics: GateMetrics::new(),
@@ -83,9 +106,12 @@
                 partners: 1,
             })),
             services: RefCell::new(HashMap::new()),
-            listed: RefCell::new(Vec::new()),
+            platform,
+            documents: FollowedDocuments::default(),
+            servers: GateServers::default(),
             draining: Cell::new(false),
-            caller_address,
+            caller_address: own.callers,
+            peers,
         })
     }
 
@@ -101,6 +127,7 @@
             if service.document.borrow().revision >= versioned.revision {
                 return false;
             }
+            *service.metrics.borrow_mut() = self.service_metrics(&versioned);
             *service.document.borrow_mut() = versioned;
             service
                 .retries
@@ -115,6 +142,7 @@
             .eject_percent(versioned.document.eject_percent)
             .build();
         let service = Rc::new(ServiceCore {
+            metrics: RefCell::new(self.service_metrics(&versioned)),
             document: RefCell::new(versioned),
             chooser: Rc::new(RefCell::new(chooser)),
             retries: RefCell::new(retries),
@@ -125,6 +153,15 @@
         true
     }
 
+    /// Metrics of the service that a document describes.
+    fn service_metrics(&self, versioned: &VersionedDocument) -> Rc<ServiceMetrics> {
+        let document = &versioned.document;
+        let metrics = self.metrics.service(&document.service, &document.partner);
+        metrics.set_revision(versioned.revision);
+        metrics.set_probes_allowed(document.measuring.probes);
+        Rc::new(metrics)
+    }
+
     /// Tells the admission limits how many partners share the gate.
     fn refresh_capacity(&self) {
         let services = self.services.borrow();
@@ -139,9 +176,8 @@
         self.limits.borrow_mut().set_capacity(capacity);
     }
 
-    /// Takes a new host list.
-    pub(crate) fn set_listed(&self, listed: Vec<ServerEntry>) {
-        *self.listed.borrow_mut() = listed;
+    /// Gives every service's chooser the servers that take new work.
+    pub(crate) fn refresh_all_servers(&self) {
         let services: Vec<_> = self.services.borrow().values().map(Rc::clone).collect();
         for service in services {
             self.refresh_servers(&service);
@@ -151,21 +187,26 @@
     /// Gives a service's chooser the servers that take new work.
     fn refresh_servers(&self, service: &ServiceCore) {
         let document = Arc::clone(&service.document.borrow().document);
-        let listed = self.listed.borrow();
-        let open = listed.iter().filter(|entry| {
-            entry.service == document.service && entry.state == ggs_model::ServerState::Live
-        });
-        let seeds: Vec<ServerSeed> = open
-            .map(|entry| ServerSeed {
-                server: entry.server,
+        let usable = self.servers.usable(&document.service);
+        let seeds: Vec<ServerSeed> = usable
+            .iter()
+            .map(|view| ServerSeed {
+                server: view.server,
                 slots: document.slots,
-                near: entry.data_centre == self.settings.data_centre,
+                near: view.data_centre == self.settings.data_centre,
             })
             .collect();
-        let now = ggs_model::Clock::now(&self.clock);
+        let leaving = self.servers.leaving_count(&document.service);
+        service.metrics().set_servers(seeds.len(), leaving);
+        let now = self.clock.now();
         service.chooser.borrow_mut().replace_servers(&seeds, now);
     }
 
+    /// The address for callers of another gate that lives.
+    pub(crate) fn caller_of(&self, gate: &GateId) -> Option<SocketAddr> {
+        self.peers.address_of(gate, self.clock.now())
+    }
+
     /// Whether the gate finishes its work and ends.
     pub(crate) fn is_draining(&self) -> bool {
         self.draining.get()
@@ -174,15 +215,11 @@
     /// Starts to drain.
     pub(crate) fn set_draining(&self) {
         self.draining.set(true);
+        self.peers.drain();
     }
 
     /// The address that callers reach.
     pub(crate) fn caller_address(&self) -> SocketAddr {
-        self.caller_address.get()
-    }
-
-    /// Sets the address that callers reach, after binding it.
-    pub(crate) fn set_caller_address(&self, address: SocketAddr) {
-        self.caller_address.set(address);
+        self.caller_address
     }
 }
