Keep a call's key in ggs-load while an attempt under it may have run

Cause: after a lost connection, a refused connection to the next gate counted as "not run", and the call took a new key: it could run twice. Change: only what a gate or server told counts for the whole call; gates may ask to repeat a key.

--- a/crates/load/src/attempt.rs
+++ b/crates/load/src/attempt.rs
@@ -162,7 +162,9 @@
 fn refusal(headers: &HeaderMap) -> AttemptFailure {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
     if let Some(reason) = text(HeaderNames::REFUSED) {
-        return AttemptFailure::new(CallOutcome::NotRun, reason);
+        let mut failure = AttemptFailure::new(CallOutcome::NotRun, reason);
+        failure.told = true;
+        return failure;
     }
     let verdict = text(HeaderNames::VERDICT).and_then(|verdict| verdict.parse().ok());
     let outcome = match verdict {
@@ -173,6 +175,7 @@
     let reason = text(HeaderNames::REASON).unwrap_or("server-error");
     let wait = text(HeaderNames::RETRY_AFTER_MS).and_then(|millis| millis.parse().ok());
     let mut failure = AttemptFailure::new(outcome, reason);
+    failure.told = verdict.is_some();
     failure.wait = Duration::from_millis(wait.unwrap_or_default());
     failure
 }
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -64,13 +64,16 @@
 
     /// One call through the gates, with retries.
     ///
-    /// An attempt that failed moves the call to the next address. A non-idempotent call whose
-    /// connection broke is sent again under the same key, which makes it run at most once; after a
-    /// promise that it did not run it takes a new key from the gate that it goes to.
+    /// An attempt that failed moves the call to the next address. A non-idempotent call that may have
+    /// run is sent again under the same key, if its connection broke or a gate asks for it, and so
+    /// runs at most once; after a promise that it did not run it takes a new key from the gate that it
+    /// goes to.
     pub(crate) async fn call_gates(&self, share: &TrafficShare, token: &str) -> CallResult {
         let start = Instant::now();
         let addresses = self.entries.addresses(&share.service);
         let mut key = None;
+        // Whether an attempt under the key may have run.
+        let mut unresolved = false;
         let mut retries = 0;
         loop {
             let left = share
@@ -87,15 +90,18 @@
             let Err(failure) = sent else {
                 return ended(None, retries);
             };
-            let same_key = key.is_some() && failure.reason == "connection-lost";
-            let again = failure.may_send_again(!share.keyed) || same_key;
-            let in_time = left.is_none_or(|left| failure.wait < left);
+            let failure = failure.of_call(unresolved);
+            let again = failure.may_send_again(!share.keyed);
+            let in_time = share
+                .deadline
+                .is_none_or(|limit| start.elapsed() + failure.wait < limit);
             if !again || !in_time || retries >= self.retries {
                 return ended(Some(failure), retries);
             }
             if failure.outcome == CallOutcome::NotRun {
                 key = None;
             }
+            unresolved = share.keyed && failure.outcome == CallOutcome::Unknown;
             actix_rt::time::sleep(failure.wait).await;
             retries += 1;
         }
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use ggs_model::RunVerdict;
 use serde::Serialize;
 use strum::{Display, EnumCount, EnumIter};
 
@@ -36,6 +35,8 @@
     pub(crate) reason: String,
     /// Time to wait before another attempt.
     pub(crate) wait: Duration,
+    /// Whether a gate or a server said so; else the caller concluded it of this attempt alone.
+    pub(crate) told: bool,
 }
 
 impl AttemptFailure {
@@ -45,14 +46,26 @@
             outcome,
             reason: reason.to_owned(),
             wait: Duration::ZERO,
+            told: false,
         }
     }
 
-    /// Whether the call may be sent again: it did not run, or running twice does no harm.
+    /// The failure as it stands for the whole call, given whether an earlier attempt under the same
+    /// key may have run: that this attempt was not sent then says nothing of the call.
+    pub(crate) fn of_call(mut self, unresolved: bool) -> Self {
+        if unresolved && !self.told && self.outcome == CallOutcome::NotRun {
+            self.outcome = CallOutcome::Unknown;
+        }
+        self
+    }
+
+    /// Whether the call may be sent again: it did not run, running twice does no harm, or it goes
+    /// under its old key, which lets it run once at most.
     pub(crate) fn may_send_again(&self, idempotent: bool) -> bool {
         match self.outcome {
-            CallOutcome::NotRun => RunVerdict::NotRun.may_send_again(),
-            CallOutcome::Unknown | CallOutcome::Cut => idempotent,
+            CallOutcome::NotRun => true,
+            CallOutcome::Unknown => idempotent || !self.told || !self.wait.is_zero(),
+            CallOutcome::Cut => idempotent,
             CallOutcome::Answered | CallOutcome::Failed | CallOutcome::Wrong => false,
         }
     }
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -139,20 +139,36 @@
 /// A gate whose answers a function gives from the token of a request, or `keys`.
 struct FixedGate {
     address: SocketAddr,
-    /// Requests to services.
+    /// Requests to services, and `keys` for each question for a key.
     seen: Arc<Mutex<Vec<String>>>,
 }
 
 impl FixedGate {
     async fn start(answer: impl Fn(&str) -> String + Clone + 'static) -> Self {
+        Self::start_before(&[], answer).await
+    }
+
+    /// A gate that names other addresses after its own.
+    async fn start_before(
+        others: &[SocketAddr],
+        answer: impl Fn(&str) -> String + Clone + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
         let address = listener.local_addr().expect("address");
+        let mut addresses = vec![address.to_string()];
+        addresses.extend(others.iter().map(SocketAddr::to_string));
+        let entries = format!("{{\"addresses\":{addresses:?},\"ttl_ms\":60000}}");
         let seen = Arc::new(Mutex::new(Vec::new()));
         let requests = Arc::clone(&seen);
         actix_rt::spawn(async move {
             loop {
                 let (stream, _) = listener.accept().await.expect("accept");
-                let serve = serve(stream, address, answer.clone(), Arc::clone(&requests));
+                let serve = serve(
+                    stream,
+                    entries.clone(),
+                    answer.clone(),
+                    Arc::clone(&requests),
+                );
                 actix_rt::spawn(serve);
             }
         });
@@ -163,7 +179,7 @@
 /// Answers one request on a connection.
 async fn serve(
     mut stream: TcpStream,
-    address: SocketAddr,
+    entries: String,
     answer: impl Fn(&str) -> String,
     seen: Arc<Mutex<Vec<String>>>,
 ) {
@@ -171,9 +187,9 @@
     let count = stream.read(&mut bytes).await.expect("read");
     let request = String::from_utf8_lossy(&bytes[..count]).into_owned();
     let reply = if request.contains("/v1/entries/") {
-        let body = format!("{{\"addresses\":[\"{address}\"],\"ttl_ms\":60000}}");
-        reply("200 OK", "", &body)
+        reply("200 OK", "", &entries)
     } else if request.contains("/v1/keys/") {
+        seen.lock().expect("lock").push("keys".to_owned());
         answer("keys")
     } else {
         let token = request.split("token=").nth(1).expect("token");
@@ -235,6 +251,20 @@
             attempts: 1,
             count: |summary| summary.shares[0].unknown,
         },
+        GateCase {
+            name: "it may have run, and the gate asks to repeat the key",
+            keyed: true,
+            answer: |token| match token {
+                "keys" => reply("200 OK", "", "{\"key\":\"k1\"}"),
+                _ => reply(
+                    "504 X",
+                    "ggs-verdict: unknown\r\nggs-retry-after-ms: 5\r\n",
+                    "",
+                ),
+            },
+            attempts: 4,
+            count: |summary| summary.shares[0].unknown,
+        },
         GateCase {
             name: "it may have run and may run twice",
             keyed: false,
@@ -290,7 +320,8 @@
         plan.shares[0].keyed = case.keyed;
         let summary = run(plan).await;
         assert_eq!((case.count)(&summary), 1, "{}: {summary:?}", case.name);
-        let seen = gate.seen.lock().expect("lock");
+        let mut seen = gate.seen.lock().expect("lock");
+        seen.retain(|request| request != "keys");
         assert_eq!(seen.len(), case.attempts, "{}", case.name);
         for (retry, request) in seen.iter().enumerate() {
             assert_eq!(request.contains("ggs-key: k1"), case.keyed, "{}", case.name);
@@ -300,12 +331,33 @@
     }
 }
 
+/// An address that refuses connections.
+async fn dead_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    listener.local_addr().expect("address")
+}
+
+#[actix_rt::test]
+async fn a_refused_connection_does_not_promise_for_an_earlier_attempt() {
+    let dead = dead_address().await;
+    let lose = |token: &str| match token {
+        "keys" => reply("200 OK", "", "{\"key\":\"k1\"}"),
+        _ => String::new(),
+    };
+    let gate = FixedGate::start_before(&[dead], lose).await;
+    let mut plan = plan(LoadTarget::Gates(vec![gate.address]), 1);
+    plan.shares[0].keyed = true;
+    let summary = run(plan).await;
+    assert_eq!(summary.shares[0].unknown, 1, "{summary:?}");
+    let seen = gate.seen.lock().expect("lock");
+    let keys = seen.iter().filter(|request| *request == "keys").count();
+    assert_eq!(keys, 1, "a new key would let the call run twice");
+}
+
 #[actix_rt::test]
 async fn a_dead_gate_is_passed_over() {
     let gate = FixedGate::start(answer).await;
-    let dead = TcpListener::bind("127.0.0.1:0").await.expect("bind");
-    let address = dead.local_addr().expect("address");
-    drop(dead);
-    let summary = run(plan(LoadTarget::Gates(vec![address, gate.address]), 20)).await;
+    let gates = vec![dead_address().await, gate.address];
+    let summary = run(plan(LoadTarget::Gates(gates), 20)).await;
     assert_eq!(summary.shares[0].answered, 20, "{summary:?}");
 }
