Add ggs-demo: platform, gates, servers and load in one process

Change: four services of two partners, three gates, calls of all classes, four faults on the way; ends with latencies, verdicts, the bill next to what the servers saw, and three checks that decide the exit code. The bill shows the gate's refusal until GET /v1/bill is served.

--- a/crates/demo/src/lib.rs
+++ b/crates/demo/src/lib.rs
@@ -1,11 +1,10 @@
-//! Library behind `ggs-demo`.
+//! A whole system in one process over loopback: gates, stand-ins and load.
+//!
+//! All parts talk over sockets, as they would on hosts of their own; no process is started.
 
-use std::ffi::OsString;
-use std::process::ExitCode;
+mod error;
+mod program;
+mod report;
+mod scene;
 
-/// Runs the program with its arguments, the program's own name first.
-pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
-    drop(arguments.into_iter());
-    eprintln!("ggs-demo: not built yet");
-    ExitCode::FAILURE
-}
+pub use program::run;
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,6 +1,7 @@
 //! Stand-in for a server: options, state and handle.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::rc::Rc;
@@ -213,6 +214,11 @@
         runs.tokens.get(token).copied().unwrap_or_default()
     }
 
+    /// Runs of requests by token.
+    pub fn run_counts(&self) -> BTreeMap<String, u64> {
+        self.shared.runs.borrow().tokens.clone()
+    }
+
     /// Runs of all requests.
     pub fn runs(&self) -> u64 {
         self.shared.runs.borrow().tokens.values().sum()
