--- a/crates/budget/src/bill.rs
+++ b/crates/budget/src/bill.rs
@@ -5,20 +5,22 @@
 use ggs_model::{PartnerName, ServiceName};
 use serde::{Deserialize, Serialize};
 
+use crate::window::DAY_MS;
 use crate::{BillArchive, BillDay, BudgetRow};
 
-/// What one partner asked for and paid for one service on one day.
+/// What measuring one service's servers cost one partner on one day.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
 pub struct BillRow {
-    /// Days since the epoch.
-    pub day: u64,
+    /// The partner that pays.
+    pub partner: PartnerName,
     /// The service.
     pub service: ServiceName,
-    /// The partner.
-    pub partner: PartnerName,
+    /// Start of the day, in milliseconds since the Unix epoch.
+    pub window_start_ms: u64,
+    /// Length of the day in milliseconds.
+    pub window_ms: u64,
     /// Probes that the documents allowed up to the day's last debit.
-    pub asked: u64,
+    pub allowed: u64,
     /// Probes that gates debited.
     pub granted: u64,
     /// Probes sent: exact once all gates have settled, else an upper bound.
@@ -83,10 +85,11 @@
 /// One row of the bill.
 fn bill_row(service: &ServiceName, day: BillDay) -> BillRow {
     BillRow {
-        day: day.day,
-        service: service.clone(),
         partner: day.partner,
-        asked: day.asked,
+        service: service.clone(),
+        window_start_ms: day.day * DAY_MS,
+        window_ms: DAY_MS,
+        allowed: day.asked,
         granted: day.granted,
         spent: day.granted.saturating_sub(day.returned),
     }
--- a/crates/budget/src/row.rs
+++ b/crates/budget/src/row.rs
@@ -86,4 +86,10 @@
     pub fn key(day: u64, service: &str) -> String {
         format!("budget/bill/{day:06}/{service}")
     }
+
+    /// Name of the row that this bill of `service` belongs in; `None` for an empty one.
+    pub fn row_key(&self, service: &str) -> Option<String> {
+        let day = self.days.first()?.day;
+        Some(Self::key(day, service))
+    }
 }
--- a/crates/budget/src/window.rs
+++ b/crates/budget/src/window.rs
@@ -17,7 +17,7 @@
 const MARGIN_MS: u64 = (CLOCK_SKEW.as_millis() + PROBE_TRAVEL.as_millis()) as u64 / 2;
 
 /// Milliseconds in a day.
-const DAY_MS: u64 = 86_400_000;
+pub(crate) const DAY_MS: u64 = 86_400_000;
 
 /// One of the windows into which wall time is divided.
 ///
--- a/crates/budget/tests/grant_cases.rs
+++ b/crates/budget/tests/grant_cases.rs
@@ -191,13 +191,11 @@
     let next_day = debit(Some(&settled.row), 1, per_day + 2, allowed(12), None).unwrap();
     let archive = serde_json::to_value(next_day.archive.unwrap()).unwrap();
     let rows = bill_rows("budget/bill/020000/ledger", &archive).unwrap();
-    assert_eq!(rows[0].asked, 12 * per_day);
+    assert_eq!(rows[0].allowed, 12 * per_day);
     assert_eq!(rows[0].granted, 24);
     assert_eq!(rows[0].spent, 5 + 12, "an unsettled grant counts as spent");
     let today = serde_json::to_value(&next_day.row).unwrap();
     let rows = bill_rows(&BudgetRow::key("ledger"), &today).unwrap();
-    assert_eq!(
-        (rows[0].day, rows[0].asked, rows[0].granted),
-        (20_001, 36, 12)
-    );
+    assert_eq!(rows[0].window_start_ms, 20_001 * 86_400_000);
+    assert_eq!((rows[0].allowed, rows[0].granted), (36, 12));
 }
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -7,11 +7,12 @@
 
 use foldhash::{HashMap, HashMapExt, HashSet};
 use ggs_limit::{AdmissionLimits, GateCapacity, RetryAllowance};
-use ggs_model::{BootClock, GateId, ServerEntry, ServiceName, VersionedDocument};
+use ggs_model::{BootClock, GateId, Moment, ServerEntry, ServiceName, VersionedDocument};
 use ggs_observe::{EventLog, GateMetrics, ServiceMetrics};
 use ggs_pick::{ServerChooser, ServerSeed, SignalChooser};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_settings::GateSettings;
+use ggs_store::HttpPlatform;
 
 use crate::keys::KeyDesk;
 use crate::transport::GateTransport;
@@ -39,6 +40,8 @@
     pub(crate) transport: GateTransport,
     /// Keys that this run of the gate issued.
     pub(crate) keys: KeyDesk,
+    /// The platform.
+    pub(crate) platform: HttpPlatform,
     /// Admits requests.
     pub(crate) limits: RefCell<AdmissionLimits>,
     /// Services by name.
@@ -64,6 +67,8 @@
     pub(crate) chooser: Rc<RefCell<GateChooser>>,
     /// Grants retries.
     pub(crate) retries: RefCell<RetryAllowance>,
+    /// When the last request came.
+    last_request: Cell<Option<Moment>>,
 }
 
 impl ServiceCore {
@@ -72,6 +77,16 @@
         self.document.borrow().clone()
     }
 
+    /// Notes a request that came at `now`.
+    pub(crate) fn note_request(&self, now: Moment) {
+        self.last_request.set(Some(now));
+    }
+
+    /// When the last request came.
+    pub(crate) fn last_request(&self) -> Option<Moment> {
+        self.last_request.get()
+    }
+
     /// The service's metrics.
     pub(crate) fn metrics(&self) -> Rc<ServiceMetrics> {
         Rc::clone(&self.metrics.borrow())
@@ -84,9 +99,11 @@
         let pool = ConnectionPool::new(ConnectionOptions::default());
         let caller_address = Cell::new(settings.listen_callers);
         let keys = KeyDesk::new(&settings, id.clone());
+        let platform = HttpPlatform::builder(&settings.platform).build();
         Rc::new(Self {
             settings,
             keys,
+            platform,
             id,
             clock: BootClock,
             log,
@@ -109,6 +126,15 @@
         self.services.borrow().get(name).map(Rc::clone)
     }
 
+    /// All services with their names.
+    pub(crate) fn services(&self) -> Vec<(ServiceName, Rc<ServiceCore>)> {
+        let services = self.services.borrow();
+        let services = services.iter();
+        services
+            .map(|(name, service)| (name.clone(), Rc::clone(service)))
+            .collect()
+    }
+
     /// Puts a document in force unless a newer one already is; tells whether it was.
     pub(crate) fn put_in_force(&self, versioned: VersionedDocument) -> bool {
         let name = versioned.document.service.clone();
@@ -135,6 +161,7 @@
             document: RefCell::new(versioned),
             chooser: Rc::new(RefCell::new(chooser)),
             retries: RefCell::new(retries),
+            last_request: Cell::new(None),
         });
         self.refresh_servers(&service);
         self.services.borrow_mut().insert(name, service);
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -86,6 +86,7 @@
     let came = core.clock.now();
     let service = core.service(service_name);
     let service = service.ok_or(CallerFault::UnknownService)?;
+    service.note_request(came);
     let payload = request.take_payload();
     let head = ServiceRequest {
         method: request.method(),
--- a/crates/gate/src/handle.rs
+++ b/crates/gate/src/handle.rs
@@ -9,13 +9,13 @@
 use ggs_model::{GateId, Incarnation};
 use ggs_observe::{EventLog, LogEvent};
 use ggs_settings::GateSettings;
-use ggs_store::HttpPlatform;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 use crate::core::GateCore;
 use crate::listen::{self, OpenCallers};
+use crate::probes;
 use crate::upstream;
 
 /// Time beyond an entry answer's life for which a draining gate still accepts callers.
@@ -71,7 +71,6 @@
         host: settings.host.clone(),
         incarnation,
     };
-    let platform = HttpPlatform::builder(&settings.platform).build();
     let core = GateCore::new(settings, id, log);
     core.set_caller_address(listener.local_addr().unwrap_or(address));
     let (stop, stopped) = watch::channel(false);
@@ -83,7 +82,8 @@
             open.clone(),
             stopped,
         )),
-        actix_rt::spawn(upstream::follow(Rc::clone(&core), platform)),
+        actix_rt::spawn(upstream::follow(Rc::clone(&core), core.platform.clone())),
+        actix_rt::spawn(probes::measure(Rc::clone(&core))),
         actix_rt::spawn(sweep(Rc::clone(&core))),
     ];
     let pairs = slog::o!(
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -15,6 +15,7 @@
 mod keyed;
 mod keys;
 mod listen;
+mod probes;
 mod request;
 mod route;
 mod span;
--- /dev/null
+++ b/crates/gate/src/probes.rs
@@ -0,0 +1,301 @@
+//! The measuring task: debits probes, sends them and reads the bill.
+//!
+//! A probe is one `GET /load` over a connection of the relay's pool, so no connection is opened that
+//! the gate would not use for requests. A gate debits only for services that it relayed requests for
+//! lately: a service without callers costs nothing to measure.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::{Method, Response, StatusCode, Uri};
+use bytes::Bytes;
+use ggs_budget::{
+    BillRow, BudgetAction, BudgetRow, ClockReading, DebitPlan, PROBE_TRAVEL, ProbeBudget,
+    RowReading, WriteEnd, bill_rows,
+};
+use ggs_follow::{document_key, read_document_row};
+use ggs_limit::CallPlace;
+use ggs_model::{Clock, HeaderNames, LoadReport, RequestClass, RunVerdict, ServiceName};
+use ggs_observe::LogEvent;
+use ggs_pick::ServerChooser;
+use ggs_relay::{
+    AnswerBody, AttemptPlan, BodyWatch, RelayBody, RelayRequest, ServerAnswer, ServerTransport,
+};
+use ggs_store::{
+    HttpPlatform, RowCheck, RowPut, RowVersion, StoreError, TableStore, TableWrite, WriteOutcome,
+};
+use serde::Serialize;
+
+use crate::answer;
+use crate::body::GateBody;
+use crate::core::{GateCore, ServiceCore};
+
+/// Time between two looks for services without a measuring task.
+const SERVICE_CHECK: Duration = Duration::from_secs(1);
+
+/// Time after a service's last request in which its servers are worth measuring.
+const BUSY_FOR: Duration = Duration::from_secs(10);
+
+/// Time after which a caller may ask for the bill again.
+const BILL_RETRY: Duration = Duration::from_secs(1);
+
+/// Path of the load endpoint.
+const LOAD_PATH: &str = "/load";
+
+/// The bill of all services.
+#[derive(Debug, Serialize)]
+struct BillAnswer {
+    /// Rows in order of partner, service and day.
+    rows: Vec<BillRow>,
+}
+
+/// Measures the servers of every service until the gate ends.
+pub(crate) async fn measure(core: Rc<GateCore>) {
+    let mut known: Vec<ServiceName> = Vec::new();
+    loop {
+        for (name, service) in core.services() {
+            if !known.contains(&name) {
+                known.push(name.clone());
+                let core = Rc::clone(&core);
+                actix_rt::spawn(measure_service(core, name, service));
+            }
+        }
+        tokio::time::sleep(SERVICE_CHECK).await;
+    }
+}
+
+/// Measures the servers of one service.
+async fn measure_service(core: Rc<GateCore>, name: ServiceName, service: Rc<ServiceCore>) {
+    let mut budget = ProbeBudget::new(core.id.clone(), rand::random());
+    while !core.is_draining() {
+        let reading = read_clocks(&core);
+        let allowed = service.document().document.measuring;
+        service.metrics().set_probes_allowed(allowed.probes);
+        match budget.poll(reading, allowed, is_wanted(&service, reading)) {
+            BudgetAction::Wait(length) => tokio::time::sleep(length).await,
+            BudgetAction::Read => debit(&core, &name, &service, &mut budget).await,
+            BudgetAction::Probe => {
+                service.metrics().count_probes_spent(1);
+                probe(&core, &service, reading).await;
+            }
+        }
+    }
+}
+
+/// Both clocks now.
+fn read_clocks(core: &GateCore) -> ClockReading {
+    ClockReading {
+        now: core.clock.now(),
+        wall: core.clock.wall(),
+    }
+}
+
+/// Whether a probe would tell something about servers that requests go to.
+fn is_wanted(service: &ServiceCore, reading: ClockReading) -> bool {
+    let busy = service
+        .last_request()
+        .is_some_and(|last| reading.now.since(last) < BUSY_FOR);
+    busy && service
+        .chooser
+        .borrow()
+        .probe_candidate(reading.now)
+        .is_some()
+}
+
+/// The rows of a service, with their versions.
+struct BudgetRows {
+    reading: RowReading,
+    budget_version: RowVersion,
+    document_version: RowVersion,
+}
+
+/// Debits probes for the present window.
+async fn debit(
+    core: &GateCore,
+    name: &ServiceName,
+    service: &ServiceCore,
+    budget: &mut ProbeBudget,
+) {
+    let rows = match read_rows(&core.platform, name).await {
+        Ok(rows) => Some(rows),
+        Err(cause) => {
+            log_failure(core, name, cause);
+            None
+        }
+    };
+    let reading = rows.as_ref().map(|rows| &rows.reading);
+    let plan = budget.read_ended(read_clocks(core), reading);
+    let (Some(plan), Some(rows)) = (plan, rows) else {
+        return;
+    };
+    let granted = u64::from(plan.granted);
+    let end = match table_write(name, &rows, plan) {
+        Ok(write) => match core.platform.write(&write).await {
+            Ok(WriteOutcome::Written) => WriteEnd::Written,
+            Ok(WriteOutcome::Conflict { .. }) => WriteEnd::Conflict,
+            Err(error) => {
+                log_failure(core, name, error.to_string());
+                match error {
+                    StoreError::Unavailable { .. } => WriteEnd::Refused,
+                    StoreError::Unanswered { .. } | StoreError::BadAnswer { .. } => WriteEnd::Lost,
+                }
+            }
+        },
+        Err(error) => {
+            log_failure(core, name, error.to_string());
+            WriteEnd::Refused
+        }
+    };
+    if end == WriteEnd::Written {
+        service.metrics().count_probes_granted(granted);
+    }
+    budget.write_ended(read_clocks(core), end);
+}
+
+/// Reads the budget row and the document row.
+async fn read_rows(platform: &HttpPlatform, name: &ServiceName) -> Result<BudgetRows, String> {
+    let budget = platform.get(&BudgetRow::key(name.as_str())).await;
+    let budget = budget.map_err(|error| error.to_string())?;
+    let document = platform.get(&document_key(name)).await;
+    let document = document.map_err(|error| error.to_string())?;
+    let document = document.ok_or_else(|| format!("service \"{name}\" has no document row"))?;
+    let accepted = read_document_row(&document).map_err(|error| error.to_string())?;
+    let budget_version = budget.as_ref().map_or(RowVersion(0), |row| row.version);
+    let row = budget
+        .map(|row| serde_json::from_value(row.value))
+        .transpose();
+    let row = row.map_err(|error| format!("budget row of service \"{name}\": {error}"))?;
+    let document_in_table = accepted.versioned.document;
+    Ok(BudgetRows {
+        reading: RowReading {
+            row,
+            budget: document_in_table.measuring,
+            partner: document_in_table.partner.clone(),
+        },
+        budget_version,
+        document_version: document.version,
+    })
+}
+
+/// The write that carries out a debit if neither row has changed since it was read.
+fn table_write(
+    name: &ServiceName,
+    rows: &BudgetRows,
+    plan: DebitPlan,
+) -> Result<TableWrite, serde_json::Error> {
+    let key = BudgetRow::key(name.as_str());
+    let checks = vec![
+        RowCheck {
+            key: key.clone(),
+            version: rows.budget_version,
+        },
+        RowCheck {
+            key: document_key(name),
+            version: rows.document_version,
+        },
+    ];
+    let mut puts = vec![RowPut {
+        key,
+        value: serde_json::to_value(&plan.row)?,
+    }];
+    if let Some(archive) = plan.archive
+        && let Some(key) = archive.row_key(name.as_str())
+    {
+        let value = serde_json::to_value(&archive)?;
+        puts.push(RowPut { key, value });
+    }
+    Ok(TableWrite { checks, puts })
+}
+
+/// Logs a debit that did not succeed; no probes are sent without one.
+fn log_failure(core: &GateCore, name: &ServiceName, cause: String) {
+    core.metrics.count_platform_failure("budget");
+    let pairs = slog::o!("service" => name.to_string(), "cause" => cause);
+    core.log.emit(
+        LogEvent::PlatformFailed,
+        "probes could not be debited",
+        pairs,
+    );
+}
+
+/// Sends one probe and tells the chooser what it showed.
+///
+/// The deadline counts from the reading that allowed the probe, and the transport checks it again
+/// before it sends: a gate that is frozen in between sends nothing.
+async fn probe(core: &GateCore, service: &ServiceCore, reading: ClockReading) {
+    let chooser = &service.chooser;
+    let candidate = chooser.borrow().probe_candidate(reading.now);
+    let Some(slot) = candidate else { return };
+    let Some(server) = chooser.borrow().server(slot) else {
+        return;
+    };
+    let deadline = reading.now + PROBE_TRAVEL;
+    let request = RelayRequest {
+        method: Method::GET,
+        target: Uri::from_static(LOAD_PATH),
+        headers: HeaderMap::new(),
+        body: Bytes::new(),
+        class: RequestClass::Standard,
+        idempotent: true,
+        place: CallPlace::Outermost,
+        deadline,
+        watch: BodyWatch::Deadline,
+        trust_refusals: false,
+    };
+    let plan = AttemptPlan {
+        fresh: false,
+        answer_by: deadline,
+        retry: 0,
+    };
+    if let Ok(answer) = core.transport.attempt(server, &request, plan).await
+        && let Some(report) = load_report(&answer)
+    {
+        chooser.borrow_mut().report(slot, report, core.clock.now());
+    }
+}
+
+/// The report in the header or the body of an answer to a probe.
+fn load_report(answer: &ServerAnswer<RelayBody>) -> Option<LoadReport> {
+    let header = answer.head.headers.get(HeaderNames::LOAD);
+    if let Some(value) = header {
+        return value.to_str().ok()?.parse().ok();
+    }
+    let AnswerBody::Whole(body) = &answer.body else {
+        return None;
+    };
+    std::str::from_utf8(body).ok()?.trim().parse().ok()
+}
+
+/// Serves `GET /v1/bill`.
+pub(crate) async fn serve_bill(core: &GateCore) -> Response<GateBody> {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let Ok(table_rows) = core.platform.list("budget/").await else {
+        let wait = Some(BILL_RETRY);
+        return answer::failure(status, RunVerdict::NotRun, "platform-unavailable", wait);
+    };
+    let mut rows = Vec::new();
+    for row in table_rows {
+        match bill_rows(&row.key, &row.value) {
+            Ok(found) => rows.extend(found),
+            Err(error) => {
+                let pairs = slog::o!("cause" => error.to_string());
+                let message = "a row of the bill cannot be read";
+                core.log.emit(LogEvent::PlatformFailed, message, pairs);
+                // A bill that left a row out would say less than the servers saw.
+                return answer::failure(status, RunVerdict::NotRun, "bill-unreadable", None);
+            }
+        }
+    }
+    rows.sort_by(|one, other| {
+        let order = |row: &BillRow| {
+            (
+                row.partner.clone(),
+                row.service.clone(),
+                row.window_start_ms,
+            )
+        };
+        order(one).cmp(&order(other))
+    });
+    answer::json(StatusCode::OK, &BillAnswer { rows })
+}
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -8,7 +8,7 @@
 use crate::answer::{self, CallerFault};
 use crate::body::GateBody;
 use crate::core::GateCore;
-use crate::{entries, forward, keyed};
+use crate::{entries, forward, keyed, probes};
 
 /// Answers one request of a caller or an operator.
 pub(crate) async fn serve(core: &Rc<GateCore>, request: Request) -> Response<GateBody> {
@@ -42,8 +42,11 @@
     match path.split('/').skip(1).collect::<Vec<_>>().as_slice() {
         ["v1", "entries", service] if is_get => entries::serve(core, service),
         ["v1", "keys", service] if is_post => keyed::issue(core, service),
+        ["v1", "bill"] if is_get => probes::serve_bill(core).await,
         ["metrics"] if is_get => metrics(core),
-        ["v1", "entries" | "keys", _] | ["metrics"] => answer::fault(CallerFault::BadMethod),
+        ["v1", "entries" | "keys", _] | ["v1", "bill"] | ["metrics"] => {
+            answer::fault(CallerFault::BadMethod)
+        }
         _ => answer::fault(CallerFault::UnknownPath),
     }
 }
