Send paid probes from grants, and serve the bill

A task for each service debits probes in one write that checks the budget row and the document row, and sends GET /load over the relay's connections, so no connection is opened only to look. GET /v1/bill lists the table's rows.

The fault was in the simulated table, which told a gate "written" when an earlier lost write of the same gate had taken effect in place of the later one; it now answers by the number of the write, and such a write is a conflict. The check is unchanged.

--- a/crates/budget/src/bill.rs
+++ b/crates/budget/src/bill.rs
@@ -2,31 +2,12 @@
 
 use std::fmt;
 
-use ggs_model::{PartnerName, ServiceName};
-use serde::{Deserialize, Serialize};
+use ggs_model::{BillRow, ServiceName};
+use serde::Deserialize;
 
 use crate::window::DAY_MS;
 use crate::{BillArchive, BillDay, BudgetRow};
 
-/// What measuring one service's servers cost one partner on one day.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BillRow {
-    /// The partner that pays.
-    pub partner: PartnerName,
-    /// The service.
-    pub service: ServiceName,
-    /// Start of the day, in milliseconds since the Unix epoch.
-    pub window_start_ms: u64,
-    /// Length of the day in milliseconds.
-    pub window_ms: u64,
-    /// Probes that the documents allowed up to the day's last debit.
-    pub allowed: u64,
-    /// Probes that gates debited.
-    pub granted: u64,
-    /// Probes sent: exact once all gates have settled, else an upper bound.
-    pub spent: u64,
-}
-
 /// A row of the table that is not a bill.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BillParseError {
@@ -82,7 +63,8 @@
     Ok(rows.collect())
 }
 
-/// One row of the bill.
+/// One row of the bill; its window is the day. What was spent is exact once all gates have settled,
+/// else an upper bound.
 fn bill_row(service: &ServiceName, day: BillDay) -> BillRow {
     BillRow {
         partner: day.partner,
--- a/crates/budget/src/lib.rs
+++ b/crates/budget/src/lib.rs
@@ -28,7 +28,7 @@
 mod row;
 mod window;
 
-pub use bill::{BillParseError, BillRow, bill_rows};
+pub use bill::{BillParseError, bill_rows};
 pub use budget::{BudgetAction, ClockReading, ProbeBudget, RowReading, WriteEnd};
 pub use debit::{DebitPlan, DebitRefusal, DebitRequest, GrantSettlement, plan_debit};
 pub use row::{BillArchive, BillDay, BudgetRow, GateGrant};
--- a/crates/budget/tests/many_gates.rs
+++ b/crates/budget/tests/many_gates.rs
@@ -56,7 +56,9 @@
     },
     Write {
         end_at: u64,
-        end: WriteEnd,
+        /// What the gate hears; `None` stands for the truth.
+        end: Option<WriteEnd>,
+        number: usize,
     },
 }
 
@@ -76,6 +78,7 @@
 /// A write on its way to the table.
 struct PendingWrite {
     at: u64,
+    number: usize,
     versions: (u64, u64),
     plan: DebitPlan,
 }
@@ -92,6 +95,8 @@
     budget: MeasuringBudget,
     document_version: u64,
     pending: VecDeque<PendingWrite>,
+    /// Whether each write took effect.
+    written: Vec<bool>,
     arrivals: Vec<u64>,
     /// The allowance from each moment on.
     allowances: Vec<(u64, u32)>,
@@ -116,6 +121,7 @@
             },
             document_version: 1,
             pending: VecDeque::new(),
+            written: Vec::new(),
             arrivals: Vec::new(),
             allowances: vec![(0, probes)],
             alive: vec![(0, 0)],
@@ -168,6 +174,7 @@
             }
             if write.versions == (self.row_version, self.document_version) {
                 self.row_version += 1;
+                self.written[write.number] = true;
                 self.row = Some(write.plan.row);
                 self.archived.extend(
                     write
@@ -182,10 +189,14 @@
 
     /// Starts a write; what the gate will hear of it, and when.
     fn start_write(&mut self, time: u64, versions: (u64, u64), plan: DebitPlan) -> GateCall {
+        let number = self.written.len();
+        self.written.push(false);
         if self.chance(self.rates.refused) {
+            let (end_at, end) = (time + 5, Some(WriteEnd::Refused));
             return GateCall::Write {
-                end_at: time + 5,
-                end: WriteEnd::Refused,
+                end_at,
+                end,
+                number,
             };
         }
         let longest = if self.chance(self.rates.slow) {
@@ -194,17 +205,19 @@
             20
         };
         let at = time + self.random.random_range(1..longest);
-        self.pending.push_back(PendingWrite { at, versions, plan });
-        if at > time + TIMEOUT_MS || self.chance(self.rates.lost) {
-            return GateCall::Write {
-                end_at: time + TIMEOUT_MS,
-                end: WriteEnd::Lost,
-            };
-        }
-        // Whether it was written is known when the answer is due.
+        self.pending.push_back(PendingWrite {
+            at,
+            number,
+            versions,
+            plan,
+        });
+        let lost = at > time + TIMEOUT_MS || self.chance(self.rates.lost);
+        let end_at = if lost { time + TIMEOUT_MS } else { at };
+        let end = lost.then_some(WriteEnd::Lost);
         GateCall::Write {
-            end_at: at,
-            end: WriteEnd::Written,
+            end_at,
+            end,
+            number,
         }
     }
 
@@ -252,19 +265,17 @@
                     self.gates[index].call = self.start_write(time, versions, plan);
                 }
             }
-            GateCall::Write { end_at, end } if end_at <= time => {
-                let written = self.row_version == gate.versions.0 + 1
-                    && self.row.as_ref().is_some_and(|row| {
-                        row.grants
-                            .last()
-                            .is_some_and(|grant| grant.gate == *gate.budget.gate())
-                    });
-                let end = if end == WriteEnd::Written && !written {
-                    WriteEnd::Lost
+            GateCall::Write {
+                end_at,
+                end,
+                number,
+            } if end_at <= time => {
+                let truth = if self.written[number] {
+                    WriteEnd::Written
                 } else {
-                    end
+                    WriteEnd::Conflict
                 };
-                gate.budget.write_ended(reading, end);
+                gate.budget.write_ended(reading, end.unwrap_or(truth));
             }
             GateCall::None if gate.poll_at <= time => {
                 self.poll_gate(index, time, reading);
--- a/crates/gate/src/probes.rs
+++ b/crates/gate/src/probes.rs
@@ -11,21 +11,20 @@
 use actix_http::{Method, Response, StatusCode, Uri};
 use bytes::Bytes;
 use ggs_budget::{
-    BillRow, BudgetAction, BudgetRow, ClockReading, DebitPlan, PROBE_TRAVEL, ProbeBudget,
-    RowReading, WriteEnd, bill_rows,
+    BudgetAction, BudgetRow, ClockReading, DebitPlan, PROBE_TRAVEL, ProbeBudget, RowReading,
+    WriteEnd, bill_rows,
 };
 use ggs_follow::{document_key, read_document_row};
 use ggs_limit::CallPlace;
-use ggs_model::{Clock, HeaderNames, LoadReport, RequestClass, RunVerdict, ServiceName};
+use ggs_model::{
+    BillAnswer, BillRow, Clock, HeaderNames, LoadReport, RequestClass, RunVerdict, ServiceName,
+};
 use ggs_observe::LogEvent;
 use ggs_pick::ServerChooser;
-use ggs_relay::{
-    AnswerBody, AttemptPlan, BodyWatch, RelayBody, RelayRequest, ServerAnswer, ServerTransport,
-};
+use ggs_relay::{AnswerBody, AttemptPlan, BodyWatch, RelayBody, RelayRequest, ServerAnswer};
 use ggs_store::{
     HttpPlatform, RowCheck, RowPut, RowVersion, StoreError, TableStore, TableWrite, WriteOutcome,
 };
-use serde::Serialize;
 
 use crate::answer;
 use crate::body::GateBody;
@@ -43,13 +42,6 @@
 /// Path of the load endpoint.
 const LOAD_PATH: &str = "/load";
 
-/// The bill of all services.
-#[derive(Debug, Serialize)]
-struct BillAnswer {
-    /// Rows in order of partner, service and day.
-    rows: Vec<BillRow>,
-}
-
 /// Measures the servers of every service until the gate ends.
 pub(crate) async fn measure(core: Rc<GateCore>) {
     let mut known: Vec<ServiceName> = Vec::new();
@@ -248,7 +240,7 @@
         answer_by: deadline,
         retry: 0,
     };
-    if let Ok(answer) = core.transport.attempt(server, &request, plan).await
+    if let Ok(answer) = core.transport.probe(server, &request, plan).await
         && let Some(report) = load_report(&answer)
     {
         chooser.borrow_mut().report(slot, report, core.clock.now());
--- a/crates/gate/src/transport.rs
+++ b/crates/gate/src/transport.rs
@@ -68,6 +68,18 @@
         }
     }
 
+    /// Sends a probe, which counts as no attempt.
+    pub(crate) async fn probe(
+        &self,
+        server: ServerId,
+        request: &RelayRequest,
+        plan: AttemptPlan,
+    ) -> Result<ServerAnswer<RelayBody>, AttemptFailure> {
+        let answer = self.inner.attempt(server, request, plan).await?;
+        self.note_sign(server, &answer.head.headers);
+        Ok(answer)
+    }
+
     /// Notes what a head says of its server.
     fn note_sign(&self, known: ServerId, headers: &HeaderMap) {
         let leaving = headers.contains_key(HeaderNames::LEAVING);
