--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -18,6 +18,7 @@
 mod keys;
 mod listen;
 mod peers;
+mod probes;
 mod request;
 mod route;
 mod servers;
