--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -122,11 +122,16 @@
     /// The other gates as operators see them.
     pub(crate) fn status(&self, now: Moment) -> Vec<PeerStatus> {
         let table = self.table.borrow();
+        let handed = table.handed_out(now);
+        let is_handed = |gate: &GateId| {
+            let mut records = handed.live.iter().chain(&handed.unsure);
+            records.any(|record| record.gate == *gate)
+        };
         let views = table.views(now).map(|view| PeerStatus {
             gate: view.record.gate.clone(),
             data_centre: view.record.data_centre.clone(),
             callers: view.record.callers,
-            live: view.sight == PeerSight::Live,
+            live: is_handed(&view.record.gate),
             heard_ms: now.since(view.heard).as_millis() as u64,
         });
         views.collect()
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub mod operators;
+
 use std::fs::File;
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, TcpListener};
