--- a/crates/gate/src/cli.rs
+++ b/crates/gate/src/cli.rs
@@ -1,80 +1,136 @@
-//! Command line of `ggs-gate`.
+//! The process of a gate: command line in, exit code out.
 
 use std::ffi::OsString;
-use std::path::PathBuf;
+use std::fmt::Display;
+use std::path::Path;
 use std::process::ExitCode;
 
-use ggs_observe::{EventLog, LogFormat};
-use lexopt::prelude::{Long, ValueExt};
-use tokio::signal::unix::{SignalKind, signal};
-
-/// What the command line asks for.
-#[derive(Debug)]
-enum GateCommand {
-    /// Run with a settings file.
-    Run(PathBuf),
-    /// Check a settings file.
-    Check(PathBuf),
+use ggs_observe::{EventLog, LogEvent, LogFormat};
+use ggs_settings::GateSettings;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+use crate::StartError;
+use crate::command::{GateCommand, read_command_line};
+
+/// The manual.
+const MANUAL: &str = r"ggs-gate - entry daemon of the greengageshelf load balancer
+
+USAGE
+    ggs-gate --config FILE [--log json|off]
+    ggs-gate --check FILE
+
+One gate runs on each entry host; all gates are alike. Callers ask any of them for
+the addresses of a service and send their requests to those. A gate keeps nothing
+on disk: documents come from the platform's table and from the other gates.
+
+FLAGS
+    --config FILE    Run with these settings (JSON with comments).
+    --check FILE     Check settings, print every fault with line, column and field,
+                     and end. Nothing is bound.
+    --log FORMAT     json: one object a line on standard error; off: nothing
+                     [default: json]. docs/EVENTS.md lists the events.
+    -h, --help       Print this manual.
+    -V, --version    Print the version.
+
+SIGNALS
+    SIGTERM, SIGINT  Drain: the gate is no longer handed out, serves until the last
+                     answer that named it has run out, finishes every request, ends.
+
+EXIT CODES
+     0   done: checked without a fault, or drained
+     1   the settings file could not be read
+     2   the command line is wrong
+     3   the settings have faults
+     4   an address could not be bound, or the process could not set up its signals";
+
+/// How the process ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+enum GateExit {
+    /// The settings file could not be read.
+    FileFailed = 1,
+    /// The command line is wrong.
+    Usage = 2,
+    /// The settings have faults.
+    Faults = 3,
+    /// An address could not be bound, or signals could not be set up.
+    StartFailed = 4,
+}
+
+impl GateExit {
+    /// Prints why the process ends so.
+    fn say(self, message: impl Display) -> Self {
+        eprintln!("ggs-gate: {message}");
+        self
+    }
 }
 
 /// Runs the program.
 pub(crate) fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
-    let command = match parse(arguments) {
-        Ok(command) => command,
-        Err(error) => {
-            eprintln!("ggs-gate: {error}");
-            return ExitCode::from(2);
-        }
-    };
-    let (path, check) = match command {
-        GateCommand::Run(path) => (path, false),
-        GateCommand::Check(path) => (path, true),
-    };
-    let text = match std::fs::read_to_string(&path) {
-        Ok(text) => text,
-        Err(error) => {
-            eprintln!("ggs-gate: {}: {error}", path.display());
-            return ExitCode::FAILURE;
+    match run_command(arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(exit) => ExitCode::from(exit as u8),
+    }
+}
+
+/// Carries the command line out.
+fn run_command(arguments: impl IntoIterator<Item = OsString>) -> Result<(), GateExit> {
+    let command = read_command_line(arguments).map_err(|error| {
+        GateExit::Usage.say(format_args!(
+            "{error}\nrun \"ggs-gate --help\" for the manual"
+        ))
+    })?;
+    match command {
+        GateCommand::Help => println!("{MANUAL}"),
+        GateCommand::Version => println!("ggs-gate {}", env!("CARGO_PKG_VERSION")),
+        GateCommand::Check { config } => {
+            read_settings(&config, LogFormat::Off)?;
+            println!("{}: settings have no fault", config.display());
         }
-    };
-    let settings = match ggs_settings::read_gate_settings(&path.display().to_string(), &text) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::FAILURE;
+        GateCommand::Run { config, log } => {
+            let settings = read_settings(&config, log)?;
+            let log = EventLog::new(log, settings.host.as_str());
+            return actix_rt::System::new().block_on(serve(settings, log));
         }
-    };
-    if check {
-        return ExitCode::SUCCESS;
     }
-    let log = EventLog::new(LogFormat::Json, settings.host.as_str());
-    actix_rt::System::new().block_on(async move {
-        let Ok(mut terminated) = signal(SignalKind::terminate()) else {
-            return ExitCode::FAILURE;
-        };
-        let handle = match crate::start(settings, log).await {
-            Ok(handle) => handle,
-            Err(error) => {
-                eprintln!("ggs-gate: {error}");
-                return ExitCode::FAILURE;
-            }
-        };
-        terminated.recv().await;
-        handle.drain().await;
-        ExitCode::SUCCESS
+    Ok(())
+}
+
+/// Reads and checks the settings; prints every fault.
+fn read_settings(path: &Path, log: LogFormat) -> Result<GateSettings, GateExit> {
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| GateExit::FileFailed.say(format_args!("{name}: {error}")))?;
+    ggs_settings::read_gate_settings(&name, &text).map_err(|error| {
+        eprintln!("{error}");
+        // The name of the host is not known when settings are faulty.
+        let pairs = slog::o!("faults" => error.faults.len());
+        EventLog::new(log, "").emit(LogEvent::SettingsInvalid, "settings have faults", pairs);
+        GateExit::Faults
     })
 }
 
-/// Parses the arguments.
-fn parse(arguments: impl IntoIterator<Item = OsString>) -> Result<GateCommand, lexopt::Error> {
-    let mut parser = lexopt::Parser::from_iter(arguments);
-    let mut command = None;
-    while let Some(argument) = parser.next()? {
-        match argument {
-            Long("config") => command = Some(GateCommand::Run(parser.value()?.parse()?)),
-            Long("check") => command = Some(GateCommand::Check(parser.value()?.parse()?)),
-            _ => return Err(argument.unexpected()),
+/// Serves until a signal asks the gate to end, then drains.
+async fn serve(settings: GateSettings, log: EventLog) -> Result<(), GateExit> {
+    let mut terminated = listen_for(SignalKind::terminate())?;
+    let mut interrupted = listen_for(SignalKind::interrupt())?;
+    let handle = match crate::start(settings, log.clone()).await {
+        Ok(handle) => handle,
+        Err(error @ StartError::Bind { .. }) => {
+            let pairs = slog::o!("cause" => error.to_string());
+            log.emit(LogEvent::BindFailed, "address cannot be bound", pairs);
+            return Err(GateExit::StartFailed.say(error));
         }
+    };
+    tokio::select! {
+        _ = terminated.recv() => {}
+        _ = interrupted.recv() => {}
     }
-    command.ok_or_else(|| "--config FILE or --check FILE is required".into())
+    handle.drain().await;
+    Ok(())
+}
+
+/// Takes over a signal.
+fn listen_for(kind: SignalKind) -> Result<Signal, GateExit> {
+    signal(kind).map_err(|error| GateExit::StartFailed.say(format_args!("signals: {error}")))
 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod caller;
 mod cli;
+mod command;
 mod core;
 mod entries;
 mod forward;
@@ -22,6 +23,7 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 
+pub use command::{GateCommand, UsageError, read_command_line};
 pub use handle::{GateHandle, StartError, start};
 
 /// Runs the program with its arguments, the program's own name first.
