--- a/crates/budget/src/bill.rs
+++ b/crates/budget/src/bill.rs
@@ -2,29 +2,12 @@
 
 use std::fmt;
 
-use ggs_model::{PartnerName, ServiceName};
-use serde::{Deserialize, Serialize};
+use ggs_model::{BillRow, ServiceName};
+use serde::Deserialize;
 
+use crate::window::DAY_MS;
 use crate::{BillArchive, BillDay, BudgetRow};
 
-/// What one partner asked for and paid for one service on one day.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct BillRow {
-    /// Days since the epoch.
-    pub day: u64,
-    /// The service.
-    pub service: ServiceName,
-    /// The partner.
-    pub partner: PartnerName,
-    /// Probes that the documents allowed up to the day's last debit.
-    pub asked: u64,
-    /// Probes that gates debited.
-    pub granted: u64,
-    /// Probes sent: exact once all gates have settled, else an upper bound.
-    pub spent: u64,
-}
-
 /// A row of the table that is not a bill.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct BillParseError {
@@ -80,13 +63,15 @@
     Ok(rows.collect())
 }
 
-/// One row of the bill.
+/// One row of the bill; its window is the day. What was spent is exact once all gates have settled,
+/// else an upper bound.
 fn bill_row(service: &ServiceName, day: BillDay) -> BillRow {
     BillRow {
-        day: day.day,
-        service: service.clone(),
         partner: day.partner,
-        asked: day.asked,
+        service: service.clone(),
+        window_start_ms: day.day * DAY_MS,
+        window_ms: DAY_MS,
+        allowed: day.asked,
         granted: day.granted,
         spent: day.granted.saturating_sub(day.returned),
     }
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -7,7 +7,7 @@
 
 use foldhash::{HashMap, HashMapExt, HashSet};
 use ggs_limit::{AdmissionLimits, GateCapacity, RetryAllowance};
-use ggs_model::{BootClock, Clock, GateId, ServiceName, VersionedDocument};
+use ggs_model::{BootClock, Clock, GateId, Moment, ServiceName, VersionedDocument};
 use ggs_observe::{EventLog, GateMetrics, ServiceMetrics};
 use ggs_pick::{ServerChooser, ServerSeed, SignalChooser};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
@@ -72,6 +72,8 @@
     pub(crate) chooser: Rc<RefCell<GateChooser>>,
     /// Grants retries.
     pub(crate) retries: RefCell<RetryAllowance>,
+    /// When the last request came.
+    last_request: Cell<Option<Moment>>,
 }
 
 impl ServiceCore {
@@ -80,6 +82,16 @@
         self.document.borrow().clone()
     }
 
+    /// Notes a request that came at `now`.
+    pub(crate) fn note_request(&self, now: Moment) {
+        self.last_request.set(Some(now));
+    }
+
+    /// When the last request came.
+    pub(crate) fn last_request(&self) -> Option<Moment> {
+        self.last_request.get()
+    }
+
     /// The service's metrics.
     pub(crate) fn metrics(&self) -> Rc<ServiceMetrics> {
         Rc::clone(&self.metrics.borrow())
@@ -120,6 +132,15 @@
         self.services.borrow().get(name).map(Rc::clone)
     }
 
+    /// All services with their names.
+    pub(crate) fn services(&self) -> Vec<(ServiceName, Rc<ServiceCore>)> {
+        let services = self.services.borrow();
+        let services = services.iter();
+        services
+            .map(|(name, service)| (name.clone(), Rc::clone(service)))
+            .collect()
+    }
+
     /// Puts a document in force unless a newer one already is; tells whether it was.
     pub(crate) fn put_in_force(&self, versioned: VersionedDocument) -> bool {
         let name = versioned.document.service.clone();
@@ -146,6 +167,7 @@
             document: RefCell::new(versioned),
             chooser: Rc::new(RefCell::new(chooser)),
             retries: RefCell::new(retries),
+            last_request: Cell::new(None),
         });
         self.refresh_servers(&service);
         self.services.borrow_mut().insert(name, service);
