Refuse answers that have both a length and chunks

RFC 9112 section 6.3 calls such a message an error. Ruled out: ShortLength (a server that gives a smaller length alone has said what is whole). Change: an answer is bounded by a length or by chunks, not by both.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -166,7 +166,8 @@
 /// Whether the end of an answer can be told from a cut.
 ///
 /// The codec takes an answer without a length for an empty one, and an HTTP/1.0 answer to end with
-/// its connection; both would pass a cut answer off as whole.
+/// its connection; both would pass a cut answer off as whole. Of an answer with both a length and
+/// chunks the codec reads the chunks, and the caller would be given as many bytes as the length says.
 fn is_bounded(head: &ResponseHead, method: &actix_http::Method) -> bool {
     let bodiless = matches!(head.status.as_u16(), 204 | 304) || *method == actix_http::Method::HEAD;
     let lengthy = head.headers.contains_key("content-length");
@@ -174,7 +175,8 @@
         .headers
         .get("transfer-encoding")
         .and_then(|value| value.to_str().ok());
-    bodiless || lengthy || coding.is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"))
+    let chunked = coding.is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"));
+    bodiless || lengthy != chunked
 }
 
 /// Sets a header to a number.
