--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod args;
 mod connection;
 mod faults;
+mod fuzz;
 mod http;
 mod listener;
 mod platform;
@@ -19,6 +20,7 @@
 
 pub use answer::{AnswerBody, DIGEST_BYTES};
 pub use faults::{DownMode, PlatformFaults, ServerFaults};
+pub use fuzz::{FuzzHandle, FuzzMove, FuzzRecord, start_fuzzer};
 pub use platform::{PlatformCounts, PlatformHandle, PlatformOptions, start_platform};
 pub use program::run;
 pub use record::ProbeRecord;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod operators;
+pub mod wire;
 
 use std::fs::File;
 use std::io::{BufRead, BufReader};
