--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -9,7 +9,8 @@
 use ggs_model::ServiceDocument;
 use rustix::process::Signal;
 use support::{
-    CallAnswer, GateProcess, READY_LIMIT, StandinProcess, accept_document, call, wait_until,
+    CallAnswer, GateProcess, READY_LIMIT, StandinProcess, accept_document, call, wait_for_peers,
+    wait_until,
 };
 
 /// Deadline of a credit in milliseconds.
@@ -52,19 +53,6 @@
     }
 }
 
-/// Waits until a gate sees `count` others live.
-async fn wait_for_peers(gate: &GateProcess, count: usize) {
-    let url = gate.url("/v1/status");
-    wait_until(&url, READY_LIMIT, || async {
-        let answer = call(Method::GET, &url, &[], "").await;
-        let status = answer.ok().and_then(|answer| {
-            serde_json::from_slice::<ggs_model::StatusAnswer>(&answer.body).ok()
-        });
-        status.is_some_and(|status| status.peers.iter().filter(|peer| peer.live).count() >= count)
-    })
-    .await;
-}
-
 /// Asks a gate for a key.
 async fn issue(gate: &GateProcess) -> String {
     let answer = call(Method::POST, &gate.url("/v1/keys/ledger"), &[], "").await;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -15,7 +15,7 @@
 
 use awc::http::Method;
 use ggs_follow::{AcceptOutcome, DocumentEdit, accept_edit};
-use ggs_model::{DataCentre, DocumentRevision, EditId, HostName, ServiceDocument};
+use ggs_model::{DataCentre, DocumentRevision, EditId, HostName, ServiceDocument, StatusAnswer};
 use ggs_settings::GateSettings;
 use ggs_store::HttpPlatform;
 use rustix::process::{Pid, Signal, kill_process};
@@ -272,6 +272,19 @@
     assert!(matches!(outcome, AcceptOutcome::Accepted(_)), "{outcome:?}");
 }
 
+/// Waits until a gate sees `count` others live.
+pub async fn wait_for_peers(gate: &GateProcess, count: usize) {
+    let url = gate.url("/v1/status");
+    wait_until(&url, READY_LIMIT, || async {
+        let answer = call(Method::GET, &url, &[], "").await;
+        let status = answer
+            .ok()
+            .and_then(|answer| serde_json::from_slice::<StatusAnswer>(&answer.body).ok());
+        status.is_some_and(|status| status.peers.iter().filter(|peer| peer.live).count() >= count)
+    })
+    .await;
+}
+
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct CallAnswer {
