--- a/crates/gate/src/probes.rs
+++ b/crates/gate/src/probes.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::header::HeaderMap;
+use actix_http::header::{HOST, HeaderMap, HeaderValue};
 use actix_http::{Method, Response, StatusCode, Uri};
 use bytes::Bytes;
 use ggs_budget::{
@@ -223,10 +223,14 @@
         return;
     };
     let deadline = reading.now + PROBE_TRAVEL;
+    let mut headers = HeaderMap::new();
+    if let Ok(host) = HeaderValue::from_str(&server.address.to_string()) {
+        headers.insert(HOST, host);
+    }
     let request = RelayRequest {
         method: Method::GET,
         target: Uri::from_static(LOAD_PATH),
-        headers: HeaderMap::new(),
+        headers,
         body: Bytes::new(),
         class: RequestClass::Standard,
         idempotent: true,
