--- a/crates/gate/src/handle.rs
+++ b/crates/gate/src/handle.rs
@@ -17,7 +17,7 @@
 use crate::core::GateCore;
 use crate::listen::{self, OpenCallers};
 use crate::peers::{self, GatePeers};
-use crate::{documents, servers};
+use crate::{documents, probes, servers};
 
 /// Time beyond an entry answer's life for which a draining gate still accepts callers.
 const DRAIN_MARGIN: Duration = Duration::from_millis(500);
@@ -83,6 +83,7 @@
         actix_rt::spawn(servers::follow_signs(Rc::clone(&core))),
         actix_rt::spawn(peers::serve_events(Rc::clone(&core), events)),
         actix_rt::spawn(peers::keep_time(Rc::clone(&core))),
+        actix_rt::spawn(probes::measure(Rc::clone(&core))),
         actix_rt::spawn(sweep(Rc::clone(&core))),
     ];
     let pairs = slog::o!(
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -8,6 +8,7 @@
 mod body;
 mod caller;
 mod cli;
+mod command;
 mod core;
 mod documents;
 mod edits;
@@ -18,6 +19,7 @@
 mod keys;
 mod listen;
 mod peers;
+mod probes;
 mod request;
 mod route;
 mod servers;
@@ -28,6 +30,7 @@
 use std::ffi::OsString;
 use std::process::ExitCode;
 
+pub use command::{GateCommand, UsageError, read_command_line};
 pub use handle::{GateHandle, StartError, start};
 
 /// Runs the program with its arguments, the program's own name first.
