--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -18,6 +18,9 @@
 /// Pause between two looks at what is in force.
 const POLL_PAUSE: Duration = Duration::from_millis(200);
 
+/// Longest time of one look at a gate.
+const LOOK_TIME: Duration = Duration::from_secs(1);
+
 /// An edit that no gate decided on.
 #[derive(Debug)]
 pub(crate) struct UndecidedEdit {
@@ -104,6 +107,9 @@
 }
 
 /// Looks at all gates until each live one has `revision` in force, for at most `wait`.
+///
+/// The last look begins when the wait is over: while a silent gate held up an earlier look, the
+/// others may have caught up.
 pub(crate) async fn wait_in_force(
     client: &GateClient,
     gates: &[SocketAddr],
@@ -112,11 +118,14 @@
     wait: Duration,
 ) -> ForceReport {
     let started = Instant::now();
+    // A frozen gate must not hold up the look at the others for long.
+    let client = client.at_most(LOOK_TIME);
     loop {
-        let fleet = FleetView::ask(client, gates).await;
+        let is_last = started.elapsed() >= wait;
+        let fleet = FleetView::ask(&client, gates).await;
         let missing = fleet.missing(service, revision);
         let live = fleet.live_count();
-        if missing.is_empty() || started.elapsed() >= wait {
+        if missing.is_empty() || is_last {
             return ForceReport { live, missing };
         }
         let left = wait.saturating_sub(started.elapsed());
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -129,6 +129,11 @@
         Self { client, timeout }
     }
 
+    /// A client that gives a gate up after `limit`, if that is sooner.
+    pub(crate) fn at_most(&self, limit: Duration) -> Self {
+        Self::new(self.timeout.min(limit))
+    }
+
     /// Sends an edit.
     pub(crate) async fn edit(
         &self,
