--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -8,7 +8,7 @@
 use crate::answer::{self, CallerFault};
 use crate::body::GateBody;
 use crate::core::GateCore;
-use crate::{edits, entries, forward, keyed, status};
+use crate::{edits, entries, forward, keyed, probes, status};
 
 /// Answers one request of a caller or an operator.
 pub(crate) async fn serve(core: &Rc<GateCore>, request: Request) -> Response<GateBody> {
@@ -49,8 +49,9 @@
         }
         ["v1", "keys", service] if is_post => keyed::issue(core, service),
         ["v1", "status"] if is_get => status::serve(core),
+        ["v1", "bill"] if is_get => probes::serve_bill(core).await,
         ["metrics"] if is_get => metrics(core),
-        ["v1", "entries" | "documents" | "keys", _] | ["v1", "status"] | ["metrics"] => {
+        ["v1", "entries" | "documents" | "keys", _] | ["v1", "status" | "bill"] | ["metrics"] => {
             answer::fault(CallerFault::BadMethod)
         }
         _ => answer::fault(CallerFault::UnknownPath),
