--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -745,3 +745,13 @@
     assert!(outcome.results.contains("live, no answer"), "{outcome:#?}");
     assert!(outcome.results.contains("2 of 3"), "{outcome:#?}");
 }
+
+#[test]
+fn the_operators_page_lists_every_exit_code() {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATING.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    for kind in ExitKind::iter() {
+        let row = format!("| {} | {kind} | {} |", kind.code(), kind.meaning());
+        assert!(page.contains(&row), "{row}");
+    }
+}
--- a/crates/observe/tests/metrics.rs
+++ b/crates/observe/tests/metrics.rs
@@ -182,3 +182,22 @@
         "{text}"
     );
 }
+
+#[test]
+fn the_operators_page_lists_exactly_the_exposed_metrics() {
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATING.md");
+    let page = std::fs::read_to_string(path).unwrap();
+    let rows = page.lines().filter_map(|line| line.strip_prefix("| `ggs_"));
+    let listed: BTreeMap<String, &str> = rows
+        .map(|row| {
+            let (name, rest) = row.split_once("` | ").unwrap();
+            (format!("ggs_{name}"), rest)
+        })
+        .collect();
+    let parsed = Exposition::parse(&filled_metrics().render());
+    let exposed: Vec<_> = parsed.types.keys().collect();
+    assert_eq!(listed.keys().collect::<Vec<_>>(), exposed);
+    for (name, rest) in listed {
+        assert!(rest.starts_with(&parsed.types[&name]), "{name}: {rest}");
+    }
+}
