--- a/crates/demo/src/program.rs
+++ b/crates/demo/src/program.rs
@@ -130,7 +130,11 @@
     let summary = summary.map_err(DemoError::Load)?;
     let windows = 2 + summary.seconds.ceil() as u64 * 1_000 / WINDOW_MS;
     let checks = DemoChecks::new(&scene, &summary, windows);
-    print(&format!("\nLatency and verdicts\n{}\n", summary.table()))?;
+    print(&format!(
+        "\nLatency and verdicts\n{}\n{}",
+        summary.table(),
+        summary.reasons()
+    ))?;
     match bill_table(&scene, gates[0]).await {
         Ok(table) => print(&format!("\nMeasuring, in probes\n{table}\n"))?,
         Err(cause) => print(&format!("\nNo bill: {cause}\n"))?,
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -59,7 +59,7 @@
             left: share.deadline,
         };
         let sent = attempt.send(AttemptRoute::Server(server)).await;
-        ended(sent.err(), 0)
+        ended(sent.err(), Vec::new())
     }
 
     /// One call through the gates, with retries.
@@ -74,6 +74,7 @@
         let mut key = None;
         // Whether an attempt under the key may have run.
         let mut unresolved = false;
+        let mut reasons = Vec::new();
         let mut retries = 0;
         loop {
             let left = share
@@ -88,7 +89,7 @@
                 None => Err(AttemptFailure::new(CallOutcome::NotRun, "no-addresses")),
             };
             let Err(failure) = sent else {
-                return ended(None, retries);
+                return ended(None, reasons);
             };
             let failure = failure.of_call(unresolved);
             let again = failure.may_send_again(!share.keyed);
@@ -96,13 +97,14 @@
                 .deadline
                 .is_none_or(|limit| start.elapsed() + failure.wait < limit);
             if !again || !in_time || retries >= self.retries {
-                return ended(Some(failure), retries);
+                return ended(Some(failure), reasons);
             }
             if failure.outcome == CallOutcome::NotRun {
                 key = None;
             }
             unresolved = share.keyed && failure.outcome == CallOutcome::Unknown;
             actix_rt::time::sleep(failure.wait).await;
+            reasons.push(failure.reason);
             retries += 1;
         }
     }
@@ -132,18 +134,19 @@
     }
 }
 
-/// The result of a call whose last attempt ended so.
-fn ended(failure: Option<AttemptFailure>, retries: u32) -> CallResult {
-    match failure {
-        None => CallResult {
-            outcome: CallOutcome::Answered,
-            reason: None,
-            retries,
-        },
-        Some(failure) => CallResult {
-            outcome: failure.outcome,
-            reason: Some(failure.reason),
-            retries,
-        },
+/// The result of a call whose last attempt ended so, after the failures of the earlier ones.
+fn ended(failure: Option<AttemptFailure>, mut reasons: Vec<String>) -> CallResult {
+    let retries = reasons.len() as u32;
+    let outcome = match failure {
+        None => CallOutcome::Answered,
+        Some(failure) => {
+            reasons.push(failure.reason);
+            failure.outcome
+        }
+    };
+    CallResult {
+        outcome,
+        reasons,
+        retries,
     }
 }
--- a/crates/load/src/outcome.rs
+++ b/crates/load/src/outcome.rs
@@ -76,8 +76,8 @@
 pub(crate) struct CallResult {
     /// How it ended.
     pub(crate) outcome: CallOutcome,
-    /// Reason of the last failure, if any.
-    pub(crate) reason: Option<String>,
+    /// Reasons of the failed attempts.
+    pub(crate) reasons: Vec<String>,
     /// Retries made.
     pub(crate) retries: u32,
 }
--- a/crates/load/src/program.rs
+++ b/crates/load/src/program.rs
@@ -68,7 +68,7 @@
         })?,
         None => {}
     }
-    print(&format!("{}\n", summary.table()))?;
+    print(&format!("{}\n{}", summary.table(), summary.reasons()))?;
     let LoadSummary {
         started,
         seconds,
--- a/crates/load/src/summary.rs
+++ b/crates/load/src/summary.rs
@@ -34,13 +34,13 @@
     pub max_us: u64,
 }
 
-/// Calls whose last failure had a reason.
+/// Attempts that failed for a reason.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct ReasonCount {
     /// The reason.
     pub reason: String,
-    /// Calls.
-    pub calls: u64,
+    /// Attempts.
+    pub attempts: u64,
 }
 
 /// Results of one share on one path.
@@ -70,7 +70,7 @@
     pub wrong: u64,
     /// Retries of all calls.
     pub retries: u64,
-    /// Reasons of the last failures.
+    /// Reasons of all failed attempts.
     pub reasons: Vec<ReasonCount>,
     /// Latencies of the answered calls.
     pub latency: LatencySummary,
@@ -111,6 +111,18 @@
         self.shares.iter().map(|share| share.wrong).sum()
     }
 
+    /// The reasons of failed attempts, one share a line; empty if none failed.
+    pub fn reasons(&self) -> String {
+        let failed = self.shares.iter().filter(|share| !share.reasons.is_empty());
+        let lines = failed.map(|share| {
+            let reasons = share.reasons.iter();
+            let reasons = reasons.map(|reason| format!("{} {}", reason.attempts, reason.reason));
+            let reasons = reasons.collect::<Vec<_>>().join(", ");
+            format!("failed attempts of {}: {reasons}\n", share.service)
+        });
+        lines.collect()
+    }
+
     /// The results as a table for people.
     pub fn table(&self) -> String {
         let mut table = Table::new();
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -45,7 +45,7 @@
             let micros = latency.as_micros() as u64;
             self.latency.saturating_record(micros);
         }
-        if let Some(reason) = result.reason {
+        for reason in result.reasons {
             *self.reasons.entry(reason).or_default() += 1;
         }
     }
@@ -69,7 +69,7 @@
         summary.retries = self.retries;
         let reasons = self.reasons.iter().map(|(reason, count)| ReasonCount {
             reason: reason.clone(),
-            calls: *count,
+            attempts: *count,
         });
         summary.reasons = reasons.collect();
         summary.latency = LatencySummary {
