Ask another gate for a key while draining

A key of a draining gate is of no use once the gate has ended: its caller was told "unknown" of a request that never ran. The new end-to-end test failed first with 503 "unknown"; a draining gate now asks a live gate for the key and falls back to its own.

--- a/crates/gate/src/keyed.rs
+++ b/crates/gate/src/keyed.rs
@@ -9,14 +9,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
-use actix_http::{Response, StatusCode};
+use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, Response, StatusCode};
 use bytes::Bytes;
 use ggs_limit::CallPlace;
-use ggs_model::{Clock, GateId, HeaderNames, RunVerdict, ServerId};
+use ggs_model::{Clock, GateId, HeaderNames, Incarnation, RequestClass, RunVerdict, ServerId};
 use ggs_once::{KeptAnswer, KeyAdmission, KeyOutcome, RequestKey, RequestParts, RunTicket};
 use ggs_relay::{
-    AnswerBody, AttemptPlan, RelayBody, RelayFailure, RelayRequest, ServerAnswer, ServerTransport,
+    AnswerBody, AttemptPlan, BodyWatch, RelayBody, RelayFailure, RelayRequest, ServerAnswer,
+    ServerTransport,
 };
 use serde::Serialize;
 use tokio::sync::oneshot;
@@ -24,7 +25,7 @@
 
 use crate::answer::{self, CallerFault};
 use crate::body::{GateBody, StreamedBody};
-use crate::core::GateCore;
+use crate::core::{GateCore, ServiceCore};
 use crate::forward::{self, AdmittedRequest, GateAnswer};
 use crate::keys::KeyRun;
 use crate::request;
@@ -33,6 +34,9 @@
 /// Time after which a refused request with a key is worth sending again.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time for another gate to issue a key.
+const ISSUE_TIME: Duration = Duration::from_millis(500);
+
 /// A key for a caller.
 #[derive(Debug, Serialize)]
 struct KeyAnswer {
@@ -42,15 +46,70 @@
 }
 
 /// Serves `POST /v1/keys/{service}`.
-pub(crate) fn issue(core: &GateCore, service: &str) -> Response<GateBody> {
-    if core.service(service).is_none() {
+///
+/// A gate that drains asks another for the key: its own would be of no use once it has ended.
+pub(crate) async fn issue(core: &GateCore, service_name: &str) -> Response<GateBody> {
+    let Some(service) = core.service(service_name) else {
         return answer::fault(CallerFault::UnknownService);
+    };
+    if core.is_draining()
+        && let Some(text) = issue_elsewhere(core, &service).await
+    {
+        let mut response = Response::with_body(StatusCode::OK, GateBody::whole(text));
+        answer::set_header(&mut response, "content-type", "application/json");
+        return response;
     }
     let key = core.keys.issue(core.clock.now()).to_string();
     let ttl_ms = core.settings.key_ttl_ms;
     answer::json(StatusCode::OK, &KeyAnswer { key, ttl_ms })
 }
 
+/// The answer of another gate that issues a key; `None` if none does.
+async fn issue_elsewhere(core: &GateCore, service: &ServiceCore) -> Option<Bytes> {
+    let now = core.clock.now();
+    let name = service.document().document.service.clone();
+    let near = &core.settings.data_centre;
+    let addresses = core.peers.entries(&name, near, now);
+    let address = addresses
+        .into_iter()
+        .find(|&address| address != core.caller_address())?;
+    let mut headers = HeaderMap::new();
+    headers.insert(HOST, HeaderValue::from_str(&address.to_string()).ok()?);
+    let deadline = now + ISSUE_TIME;
+    let request = RelayRequest {
+        method: Method::POST,
+        target: format!("/v1/keys/{name}").parse().ok()?,
+        headers,
+        body: Bytes::new(),
+        class: RequestClass::Standard,
+        idempotent: true,
+        place: CallPlace::Outermost,
+        deadline,
+        watch: BodyWatch::Deadline,
+        trust_refusals: false,
+    };
+    let plan = AttemptPlan {
+        fresh: true,
+        answer_by: deadline,
+        retry: 0,
+    };
+    let incarnation = Incarnation::default();
+    let server = ServerId {
+        address,
+        incarnation,
+    };
+    let answer = core
+        .keys
+        .transport
+        .attempt(server, &request, plan)
+        .await
+        .ok()?;
+    match answer.body {
+        AnswerBody::Whole(text) if answer.head.status == StatusCode::OK => Some(text),
+        AnswerBody::Whole(_) | AnswerBody::Streamed(_) => None,
+    }
+}
+
 /// The key that a request carries, if any.
 pub(crate) fn read_key(headers: &HeaderMap) -> Result<Option<RequestKey>, CallerFault> {
     let Some(value) = headers.get(HeaderNames::KEY) else {
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -47,7 +47,7 @@
             let service = ServiceName::new(service);
             edits::accept(core, service, request).await
         }
-        ["v1", "keys", service] if is_post => keyed::issue(core, service),
+        ["v1", "keys", service] if is_post => keyed::issue(core, service).await,
         ["v1", "status"] if is_get => status::serve(core),
         ["v1", "bill"] if is_get => probes::serve_bill(core).await,
         ["metrics"] if is_get => metrics(core),
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -265,3 +265,23 @@
     assert_eq!(world.runs("a").await, 1);
     assert!(world.runs("b").await <= 1);
 }
+
+#[actix_rt::test]
+async fn a_key_asked_of_a_draining_gate_outlives_it() {
+    let mut world = World::start(2).await;
+    world.gates[0].child.signal(Signal::TERM);
+    let url = world.gates[0].url("/v1/status");
+    wait_until("the gate drains", READY_LIMIT, || async {
+        let answer = call(Method::GET, &url, &[], "").await.expect("status");
+        let status: ggs_model::StatusAnswer = serde_json::from_slice(&answer.body).expect("json");
+        status.draining
+    })
+    .await;
+    let key = issue(&world.gates[0]).await;
+    let ended = world.gates[0].child.wait(READY_LIMIT).await;
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+    let answer = credit(&world.gates[1], &key, "token=a", "12 kg").await;
+    let answer = answer.unwrap();
+    assert_eq!((answer.status, verdict(&answer)), (200, "ran"));
+    assert_eq!(world.runs("a").await, 1);
+}
