--- /dev/null
+++ b/crates/gate/src/key_issue.rs
@@ -0,0 +1,91 @@
+//! Issue of keys.
+
+use std::time::Duration;
+
+use actix_http::header::{HOST, HeaderMap, HeaderValue};
+use actix_http::{Method, Response, StatusCode};
+use bytes::Bytes;
+use ggs_limit::CallPlace;
+use ggs_model::{Clock, Incarnation, RequestClass, ServerId};
+use ggs_relay::{AnswerBody, AttemptPlan, BodyWatch, RelayRequest, ServerTransport};
+use serde::Serialize;
+
+use crate::answer::{self, CallerFault};
+use crate::body::GateBody;
+use crate::core::{GateCore, ServiceCore};
+
+/// Time for another gate to issue a key.
+const ISSUE_TIME: Duration = Duration::from_millis(500);
+
+/// A key for a caller.
+#[derive(Debug, Serialize)]
+struct KeyAnswer {
+    key: String,
+    /// Time for which the key can be used, in milliseconds.
+    ttl_ms: u64,
+}
+
+/// Serves `POST /v1/keys/{service}`.
+///
+/// A gate that drains asks another for the key: its own would be of no use once it has ended.
+pub(crate) async fn serve(core: &GateCore, service_name: &str) -> Response<GateBody> {
+    let Some(service) = core.service(service_name) else {
+        return answer::fault(CallerFault::UnknownService);
+    };
+    if core.is_draining()
+        && let Some(text) = issue_elsewhere(core, &service).await
+    {
+        let mut response = Response::with_body(StatusCode::OK, GateBody::whole(text));
+        answer::set_header(&mut response, "content-type", "application/json");
+        return response;
+    }
+    let key = core.keys.issue(core.clock.now()).to_string();
+    let ttl_ms = core.settings.key_ttl_ms;
+    answer::json(StatusCode::OK, &KeyAnswer { key, ttl_ms })
+}
+
+/// The answer of another gate that issues a key; `None` if none does.
+async fn issue_elsewhere(core: &GateCore, service: &ServiceCore) -> Option<Bytes> {
+    let now = core.clock.now();
+    let name = service.document().document.service.clone();
+    let near = &core.settings.data_centre;
+    let addresses = core.peers.entries(&name, near, now);
+    let address = addresses
+        .into_iter()
+        .find(|&address| address != core.caller_address())?;
+    let mut headers = HeaderMap::new();
+    headers.insert(HOST, HeaderValue::from_str(&address.to_string()).ok()?);
+    let deadline = now + ISSUE_TIME;
+    let request = RelayRequest {
+        method: Method::POST,
+        target: format!("/v1/keys/{name}").parse().ok()?,
+        headers,
+        body: Bytes::new(),
+        class: RequestClass::Standard,
+        idempotent: true,
+        place: CallPlace::Outermost,
+        deadline,
+        watch: BodyWatch::Deadline,
+        trust_refusals: false,
+    };
+    let plan = AttemptPlan {
+        fresh: true,
+        answer_by: deadline,
+        retry: 0,
+    };
+    let incarnation = Incarnation::default();
+    let server = ServerId {
+        address,
+        incarnation,
+    };
+    let answer = core
+        .keys
+        .transport
+        .attempt(server, &request, plan)
+        .await
+        .ok()?;
+    match answer.body {
+        AnswerBody::Whole(text) if answer.head.status == StatusCode::OK => Some(text),
+        AnswerBody::Whole(_) | AnswerBody::Streamed(_) => None,
+    }
+}
--- /dev/null
+++ b/crates/gate/src/key_refusal.rs
@@ -0,0 +1,104 @@
+//! Answers that a gate gives itself to requests with a key.
+
+use std::time::Duration;
+
+use actix_http::{Response, StatusCode};
+use ggs_model::RunVerdict;
+
+use crate::answer;
+use crate::body::GateBody;
+use crate::forward::AdmittedRequest;
+
+/// Time after which a refused request with a key is worth sending again.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// An answer that the gate gives itself to a keyed request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KeyRefusal {
+    pub(crate) status: StatusCode,
+    pub(crate) verdict: RunVerdict,
+    pub(crate) reason: &'static str,
+    /// Whether the same request may succeed later.
+    passing: bool,
+}
+
+impl KeyRefusal {
+    /// The first request with the key has not ended.
+    pub(crate) const STILL_RUNNING: Self = Self {
+        status: StatusCode::GATEWAY_TIMEOUT,
+        verdict: RunVerdict::Unknown,
+        reason: "key-still-running",
+        passing: true,
+    };
+    /// The request ran, and its answer was too large to keep.
+    pub(crate) const ANSWER_NOT_KEPT: Self = Self {
+        status: StatusCode::GONE,
+        verdict: RunVerdict::Ran,
+        reason: "answer-not-kept",
+        passing: false,
+    };
+    /// The request may have run.
+    pub(crate) const OUTCOME_UNKNOWN: Self = Self {
+        status: StatusCode::BAD_GATEWAY,
+        verdict: RunVerdict::Unknown,
+        reason: "outcome-unknown",
+        passing: false,
+    };
+    /// The key was used for another request, which may have run.
+    pub(crate) const CONFLICT: Self = Self {
+        status: StatusCode::CONFLICT,
+        verdict: RunVerdict::Unknown,
+        reason: "key-conflict",
+        passing: false,
+    };
+    /// The key's life has ended, and with it the memory of its use.
+    pub(crate) const EXPIRED: Self = Self {
+        status: StatusCode::GONE,
+        verdict: RunVerdict::Unknown,
+        reason: "key-expired",
+        passing: false,
+    };
+    /// The key was altered, or names a number that was never issued.
+    pub(crate) const NOT_ISSUED: Self = Self {
+        status: StatusCode::BAD_REQUEST,
+        verdict: RunVerdict::Unknown,
+        reason: "key-not-issued",
+        passing: false,
+    };
+    /// No memory is left for a key that was not used before.
+    pub(crate) const MEMORY_FULL: Self = Self {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        verdict: RunVerdict::NotRun,
+        reason: "key-memory-full",
+        passing: true,
+    };
+    /// The run of the gate that issued the key has ended, and with it the memory of its use.
+    pub(crate) const ISSUER_GONE: Self = Self {
+        status: StatusCode::GONE,
+        verdict: RunVerdict::Unknown,
+        reason: "issuer-gone",
+        passing: false,
+    };
+    /// This gate knows no address of the gate that issued the key.
+    pub(crate) const ISSUER_UNKNOWN: Self = Self {
+        status: StatusCode::SERVICE_UNAVAILABLE,
+        verdict: RunVerdict::Unknown,
+        reason: "issuer-unknown",
+        passing: true,
+    };
+    /// The gate that issued the key did not answer.
+    pub(crate) const ISSUER_UNREACHABLE: Self = Self {
+        status: StatusCode::GATEWAY_TIMEOUT,
+        verdict: RunVerdict::Unknown,
+        reason: "issuer-unreachable",
+        passing: true,
+    };
+}
+
+/// Answers with a refusal.
+pub(crate) fn refuse(mut admitted: AdmittedRequest, refusal: &KeyRefusal) -> Response<GateBody> {
+    admitted.span.set_verdict(refusal.verdict.into());
+    admitted.service.metrics().count_refusal(refusal.reason);
+    let wait = refusal.passing.then_some(RETRY_AFTER);
+    answer::failure(refusal.status, refusal.verdict, refusal.reason, wait)
+}
--- a/crates/gate/src/keyed.rs
+++ b/crates/gate/src/keyed.rs
@@ -7,109 +7,26 @@
 //! first request, and send it again under a new key.
 
 use std::rc::Rc;
-use std::time::Duration;
 
-use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
-use actix_http::{Method, Response, StatusCode};
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Response, StatusCode};
 use bytes::Bytes;
-use ggs_limit::CallPlace;
-use ggs_model::{Clock, GateId, HeaderNames, Incarnation, RequestClass, RunVerdict, ServerId};
+use ggs_model::{Clock, HeaderNames, RunVerdict};
 use ggs_once::{KeptAnswer, KeyAdmission, KeyOutcome, RequestKey, RequestParts, RunTicket};
-use ggs_relay::{
-    AnswerBody, AttemptPlan, BodyWatch, RelayBody, RelayFailure, RelayRequest, ServerAnswer,
-    ServerTransport,
-};
-use serde::Serialize;
+use ggs_relay::{AnswerBody, RelayBody, RelayFailure, RelayRequest, ServerAnswer};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
 use crate::answer::{self, CallerFault};
-use crate::body::{GateBody, StreamedBody};
-use crate::core::{GateCore, ServiceCore};
+use crate::body::GateBody;
+use crate::core::GateCore;
 use crate::forward::{self, AdmittedRequest, GateAnswer};
+use crate::key_pass::pass_on;
+use crate::key_refusal::{KeyRefusal, refuse};
 use crate::keys::KeyRun;
 use crate::request;
 use crate::span::RequestSpan;
 
-/// Time after which a refused request with a key is worth sending again.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
-
-/// Time for another gate to issue a key.
-const ISSUE_TIME: Duration = Duration::from_millis(500);
-
-/// A key for a caller.
-#[derive(Debug, Serialize)]
-struct KeyAnswer {
-    key: String,
-    /// Time for which the key can be used, in milliseconds.
-    ttl_ms: u64,
-}
-
-/// Serves `POST /v1/keys/{service}`.
-///
-/// A gate that drains asks another for the key: its own would be of no use once it has ended.
-pub(crate) async fn issue(core: &GateCore, service_name: &str) -> Response<GateBody> {
-    let Some(service) = core.service(service_name) else {
-        return answer::fault(CallerFault::UnknownService);
-    };
-    if core.is_draining()
-        && let Some(text) = issue_elsewhere(core, &service).await
-    {
-        let mut response = Response::with_body(StatusCode::OK, GateBody::whole(text));
-        answer::set_header(&mut response, "content-type", "application/json");
-        return response;
-    }
-    let key = core.keys.issue(core.clock.now()).to_string();
-    let ttl_ms = core.settings.key_ttl_ms;
-    answer::json(StatusCode::OK, &KeyAnswer { key, ttl_ms })
-}
-
-/// The answer of another gate that issues a key; `None` if none does.
-async fn issue_elsewhere(core: &GateCore, service: &ServiceCore) -> Option<Bytes> {
-    let now = core.clock.now();
-    let name = service.document().document.service.clone();
-    let near = &core.settings.data_centre;
-    let addresses = core.peers.entries(&name, near, now);
-    let address = addresses
-        .into_iter()
-        .find(|&address| address != core.caller_address())?;
-    let mut headers = HeaderMap::new();
-    headers.insert(HOST, HeaderValue::from_str(&address.to_string()).ok()?);
-    let deadline = now + ISSUE_TIME;
-    let request = RelayRequest {
-        method: Method::POST,
-        target: format!("/v1/keys/{name}").parse().ok()?,
-        headers,
-        body: Bytes::new(),
-        class: RequestClass::Standard,
-        idempotent: true,
-        place: CallPlace::Outermost,
-        deadline,
-        watch: BodyWatch::Deadline,
-        trust_refusals: false,
-    };
-    let plan = AttemptPlan {
-        fresh: true,
-        answer_by: deadline,
-        retry: 0,
-    };
-    let incarnation = Incarnation::default();
-    let server = ServerId {
-        address,
-        incarnation,
-    };
-    let answer = core
-        .keys
-        .transport
-        .attempt(server, &request, plan)
-        .await
-        .ok()?;
-    match answer.body {
-        AnswerBody::Whole(text) if answer.head.status == StatusCode::OK => Some(text),
-        AnswerBody::Whole(_) | AnswerBody::Streamed(_) => None,
-    }
-}
-
 /// The key that a request carries, if any.
 pub(crate) fn read_key(headers: &HeaderMap) -> Result<Option<RequestKey>, CallerFault> {
     let Some(value) = headers.get(HeaderNames::KEY) else {
@@ -162,97 +79,6 @@
     }
 }
 
-/// An answer that the gate gives itself to a keyed request.
-#[derive(Clone, Copy, Debug)]
-struct KeyRefusal {
-    status: StatusCode,
-    verdict: RunVerdict,
-    reason: &'static str,
-    /// Whether the same request may succeed later.
-    passing: bool,
-}
-
-impl KeyRefusal {
-    /// The first request with the key has not ended.
-    const STILL_RUNNING: Self = Self {
-        status: StatusCode::GATEWAY_TIMEOUT,
-        verdict: RunVerdict::Unknown,
-        reason: "key-still-running",
-        passing: true,
-    };
-    /// The request ran, and its answer was too large to keep.
-    const ANSWER_NOT_KEPT: Self = Self {
-        status: StatusCode::GONE,
-        verdict: RunVerdict::Ran,
-        reason: "answer-not-kept",
-        passing: false,
-    };
-    /// The request may have run.
-    const OUTCOME_UNKNOWN: Self = Self {
-        status: StatusCode::BAD_GATEWAY,
-        verdict: RunVerdict::Unknown,
-        reason: "outcome-unknown",
-        passing: false,
-    };
-    /// The key was used for another request, which may have run.
-    const CONFLICT: Self = Self {
-        status: StatusCode::CONFLICT,
-        verdict: RunVerdict::Unknown,
-        reason: "key-conflict",
-        passing: false,
-    };
-    /// The key's life has ended, and with it the memory of its use.
-    const EXPIRED: Self = Self {
-        status: StatusCode::GONE,
-        verdict: RunVerdict::Unknown,
-        reason: "key-expired",
-        passing: false,
-    };
-    /// The key was altered, or names a number that was never issued.
-    const NOT_ISSUED: Self = Self {
-        status: StatusCode::BAD_REQUEST,
-        verdict: RunVerdict::Unknown,
-        reason: "key-not-issued",
-        passing: false,
-    };
-    /// No memory is left for a key that was not used before.
-    const MEMORY_FULL: Self = Self {
-        status: StatusCode::SERVICE_UNAVAILABLE,
-        verdict: RunVerdict::NotRun,
-        reason: "key-memory-full",
-        passing: true,
-    };
-    /// The run of the gate that issued the key has ended, and with it the memory of its use.
-    const ISSUER_GONE: Self = Self {
-        status: StatusCode::GONE,
-        verdict: RunVerdict::Unknown,
-        reason: "issuer-gone",
-        passing: false,
-    };
-    /// This gate knows no address of the gate that issued the key.
-    const ISSUER_UNKNOWN: Self = Self {
-        status: StatusCode::SERVICE_UNAVAILABLE,
-        verdict: RunVerdict::Unknown,
-        reason: "issuer-unknown",
-        passing: true,
-    };
-    /// The gate that issued the key did not answer.
-    const ISSUER_UNREACHABLE: Self = Self {
-        status: StatusCode::GATEWAY_TIMEOUT,
-        verdict: RunVerdict::Unknown,
-        reason: "issuer-unreachable",
-        passing: true,
-    };
-}
-
-/// Answers with a refusal.
-fn refuse(mut admitted: AdmittedRequest, refusal: &KeyRefusal) -> Response<GateBody> {
-    admitted.span.set_verdict(refusal.verdict.into());
-    admitted.service.metrics().count_refusal(refusal.reason);
-    let wait = refusal.passing.then_some(RETRY_AFTER);
-    answer::failure(refusal.status, refusal.verdict, refusal.reason, wait)
-}
-
 /// How a run ended, for the caller that started it.
 #[derive(Debug)]
 enum RunEnd {
@@ -357,74 +183,3 @@
     answer::set_header(&mut response, HeaderNames::VERDICT, verdict.into());
     response
 }
-
-/// Passes the request on to the gate that issued its key, once.
-async fn pass_on(
-    core: &Rc<GateCore>,
-    admitted: AdmittedRequest,
-    issuer: GateId,
-) -> Response<GateBody> {
-    let passed = admitted
-        .request
-        .headers
-        .contains_key(HeaderNames::PASSED_BY);
-    if passed || issuer.host == core.id.host {
-        return refuse(admitted, &KeyRefusal::ISSUER_GONE);
-    }
-    let Some(address) = core.caller_of(&issuer) else {
-        return refuse(admitted, &KeyRefusal::ISSUER_UNKNOWN);
-    };
-    let server = ServerId {
-        address,
-        incarnation: issuer.incarnation,
-    };
-    let request = passed_request(core, &admitted);
-    let plan = AttemptPlan {
-        fresh: true,
-        answer_by: request.deadline,
-        retry: u32::from(request.place == CallPlace::Retried),
-    };
-    match core.keys.transport.attempt(server, &request, plan).await {
-        Ok(answer) => passed_answer(admitted, answer),
-        // The request may have run earlier through its issuer, whatever became of this attempt.
-        Err(_) => refuse(admitted, &KeyRefusal::ISSUER_UNREACHABLE),
-    }
-}
-
-/// The request as the issuing gate is to see it.
-fn passed_request(core: &GateCore, admitted: &AdmittedRequest) -> RelayRequest {
-    let mut request = admitted.request.clone();
-    let target = format!("/s/{}{}", admitted.service_name, request.target);
-    // Both parts were parsed before.
-    request.target = target.parse().unwrap_or(request.target);
-    let name = HeaderName::from_static(HeaderNames::PASSED_BY);
-    if let Ok(value) = HeaderValue::from_str(core.id.host.as_str()) {
-        request.headers.insert(name, value);
-    }
-    request
-}
-
-/// The caller's answer from that of the issuing gate.
-fn passed_answer(
-    mut admitted: AdmittedRequest,
-    answer: ServerAnswer<RelayBody>,
-) -> Response<GateBody> {
-    let verdict = answer.head.headers.get(HeaderNames::VERDICT);
-    let verdict = verdict.and_then(|value| value.to_str().ok()?.parse::<RunVerdict>().ok());
-    let Some(verdict) = verdict else {
-        return refuse(admitted, &KeyRefusal::ISSUER_UNREACHABLE);
-    };
-    admitted.span.set_verdict(verdict.into());
-    let body = match answer.body {
-        AnswerBody::Whole(bytes) => GateBody::whole(bytes),
-        AnswerBody::Streamed(body) => GateBody::Streamed(Box::new(StreamedBody {
-            body,
-            hold: None,
-            span: admitted.span,
-        })),
-    };
-    let mut response = Response::with_body(answer.head.status, body);
-    forward::copy_headers(&answer.head.headers, response.headers_mut());
-    answer::set_header(&mut response, HeaderNames::VERDICT, verdict.into());
-    response
-}
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -8,7 +8,7 @@
 use crate::answer::{self, CallerFault};
 use crate::body::GateBody;
 use crate::core::GateCore;
-use crate::{edits, entries, forward, keyed, probes, status};
+use crate::{edits, entries, forward, key_issue, probes, status};
 
 /// Answers one request of a caller or an operator.
 pub(crate) async fn serve(core: &Rc<GateCore>, request: Request) -> Response<GateBody> {
@@ -47,7 +47,7 @@
             let service = ServiceName::new(service);
             edits::accept(core, service, request).await
         }
-        ["v1", "keys", service] if is_post => keyed::issue(core, service).await,
+        ["v1", "keys", service] if is_post => key_issue::serve(core, service).await,
         ["v1", "status"] if is_get => status::serve(core),
         ["v1", "bill"] if is_get => probes::serve_bill(core).await,
         ["metrics"] if is_get => metrics(core),
