Show the bill over real processes; choose test ports that nobody else takes

Cause: the bill had no end-to-end test, and one of 4 runs of tests/operators.rs failed: a gate could not bind a port that was free a moment before (event 103, address in use). Ruled out: a longer wait; the gate had ended. An outgoing connection of a test that runs at the same time had taken the port, which the system had chosen from the range it uses for those.

--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -12,8 +12,8 @@
 use awc::http::{Method, StatusCode};
 use awc::{Client, Connector};
 use ggs_model::{
-    AnswerFailure, BillAnswer, EditAnswer, EditConflict, EditFaults, EditRequest, ServiceName,
-    StatusAnswer, VersionedDocument,
+    AnswerFailure, BillAnswer, EditAnswer, EditConflict, EditFaults, EditRequest, HeaderNames,
+    ServiceName, StatusAnswer, VersionedDocument,
 };
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -82,6 +82,8 @@
 struct GateReply {
     gate: SocketAddr,
     status: StatusCode,
+    /// The gate's short reason, if it gave one.
+    reason: Option<String>,
     body: Vec<u8>,
 }
 
@@ -99,7 +101,11 @@
     fn failure(&self) -> GateError {
         let gate = self.gate;
         let told = serde_json::from_slice::<AnswerFailure>(&self.body);
-        let cause = told.map_or_else(|_| format!("status {}", self.status), |told| told.message);
+        let cause = match (told, &self.reason) {
+            (Ok(told), _) => told.message,
+            (Err(_), Some(reason)) => reason.clone(),
+            (Err(_), None) => format!("status {}", self.status),
+        };
         match self.status {
             StatusCode::SERVICE_UNAVAILABLE => GateError::PlatformDown { gate, cause },
             StatusCode::GATEWAY_TIMEOUT => GateError::Unknown { gate, cause },
@@ -228,13 +234,22 @@
         };
         let mut response = sending.await.map_err(|error| send_error(gate, &error))?;
         let status = response.status();
+        let reason = response.headers().get(HeaderNames::REASON);
+        let reason = reason
+            .and_then(|reason| reason.to_str().ok())
+            .map(str::to_owned);
         let body = response.body().limit(ANSWER_LIMIT).await;
         let body = body.map_err(|error| {
             let cause = format!("answer was cut short: {error}");
             GateError::Silent { gate, cause }
         })?;
         let body = body.to_vec();
-        Ok(GateReply { gate, status, body })
+        Ok(GateReply {
+            gate,
+            status,
+            reason,
+            body,
+        })
     }
 }
 
--- a/crates/ctl/src/help.rs
+++ b/crates/ctl/src/help.rs
@@ -125,7 +125,7 @@
               less than the servers saw
     spent     probes that gates reported as sent
 
-The table sums all windows; --json prints each window.
+The table sums all days; --json prints each day.
 
 FLAGS
     --gate, --timeout, --json: see ggs-ctl --help.
--- a/crates/ctl/src/table.rs
+++ b/crates/ctl/src/table.rs
@@ -95,34 +95,32 @@
     format!("{host} at {address} ({held})")
 }
 
-/// Sums of one service over all windows.
+/// Sums of one service over all days.
 #[derive(Clone, Copy, Debug, Default)]
 struct BillSum {
-    windows: u64,
+    days: u64,
     allowed: u64,
     granted: u64,
     spent: u64,
 }
 
-/// Probes by partner and service, summed over the windows.
+/// Probes by partner and service, summed over the days.
 pub(crate) fn bill_table(bill: &BillAnswer) -> String {
     let mut sums: BTreeMap<(&PartnerName, &ServiceName), BillSum> = BTreeMap::new();
     for row in &bill.rows {
         let sum = sums.entry((&row.partner, &row.service)).or_default();
-        sum.windows += 1;
+        sum.days += 1;
         sum.allowed = sum.allowed.saturating_add(row.allowed);
         sum.granted = sum.granted.saturating_add(row.granted);
         sum.spent = sum.spent.saturating_add(row.spent);
     }
-    let heading = [
-        "partner", "service", "windows", "allowed", "granted", "spent",
-    ];
+    let heading = ["partner", "service", "days", "allowed", "granted", "spent"];
     let mut table = plain_table(&heading);
     for ((partner, service), sum) in sums {
         table.add_row([
             partner.to_string(),
             service.to_string(),
-            sum.windows.to_string(),
+            sum.days.to_string(),
             sum.allowed.to_string(),
             sum.granted.to_string(),
             sum.spent.to_string(),
--- a/tests/gate_process.rs
+++ b/tests/gate_process.rs
@@ -67,7 +67,12 @@
             change: ("127.0.0.1:8081", "127.0.0.1:8080"),
             code: 3,
             results: "",
-            messages: &["is that of listen_callers", "\"event\":104"],
+            messages: &[
+                "is that of listen_callers",
+                "\"event\":104",
+                "\"level\":\"ERRO\"",
+                "\"ts\":\"20",
+            ],
         },
         ProcessCase {
             name: "no such file",
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -6,9 +6,11 @@
 use std::process::{Command, Output, Stdio};
 use std::time::{Duration, Instant};
 
+use awc::http::Method;
 use ggs_ctl::ExitKind;
+use ggs_model::BillAnswer;
 use rustix::process::Signal;
-use support::{GateProcess, READY_LIMIT, StandinProcess, scratch_file, wait_until};
+use support::{GateProcess, READY_LIMIT, StandinProcess, call, scratch_file, wait_until};
 
 /// Longest time from acceptance to force on every live gate.
 const IN_FORCE_LIMIT: Duration = Duration::from_secs(15);
@@ -244,6 +246,16 @@
             case.faults
         );
     }
+    fleet
+        .platform
+        .set_faults(0, "{\"down\": \"unavailable\"}")
+        .await;
+    let said = fleet
+        .ctl(&[0], &["bill"])
+        .ends(ExitKind::PlatformDown)
+        .await;
+    assert!(said.contains("platform-unavailable"), "{said}");
+    fleet.platform.set_faults(0, "{}").await;
     wait_until("edits are taken again", READY_LIMIT, || async {
         write_ledger(&file, "", 40);
         let output = fleet.ctl(&[0], &["apply", text(&file)]).output().await;
@@ -307,3 +319,58 @@
         .await;
     assert!(said.contains("in force on 2 of 2 live gates"), "{said}");
 }
+
+/// Probes that the servers of a process saw.
+async fn seen_probes(servers: &StandinProcess) -> usize {
+    let mut seen = 0;
+    for (_, admin) in &servers.addresses {
+        let url = format!("http://{admin}/admin/probes");
+        let answer = call(Method::GET, &url, &[], "").await.expect("answer");
+        let record: serde_json::Value = serde_json::from_slice(&answer.body).expect("record");
+        for kind in ["load", "health", "unused_connections"] {
+            seen += record[kind].as_array().map_or(0, Vec::len);
+        }
+    }
+    seen
+}
+
+#[actix_rt::test]
+async fn the_bill_shows_each_partner_what_it_allowed_and_what_was_spent() {
+    let fleet = TestFleet::start().await;
+    let servers = StandinProcess::servers(&fleet.platform.url(), "ledger", 3, &[]);
+    let file = scratch_file("ledger.json");
+    let document = "{ \"service\": \"ledger\", \"partner\": \"wagowa\", \
+                    \"measuring\": { \"probes\": 30, \"window_ms\": 1000 } }";
+    std::fs::write(&file, document).expect("write");
+    fleet
+        .ctl(&[0], &["apply", text(&file)])
+        .ends(ExitKind::Done)
+        .await;
+    // Only a service with callers is measured.
+    let url = fleet.gates[0].url("/s/ledger/accounts?token=a");
+    wait_until("probes reach the servers", IN_FORCE_LIMIT, || async {
+        call(Method::GET, &url, &[], "").await.expect("answer");
+        seen_probes(&servers).await > 0
+    })
+    .await;
+    let seen = seen_probes(&servers).await as u64;
+    let output = fleet.ctl(&[1], &["bill", "--json"]).output().await;
+    let bill: BillAnswer = serde_json::from_slice(&output.stdout).expect("bill");
+    let rows = bill
+        .rows
+        .iter()
+        .filter(|row| row.service.as_str() == "ledger");
+    let (mut allowed, mut granted, mut spent) = (0, 0, 0);
+    for row in rows {
+        assert_eq!(row.partner.as_str(), "wagowa");
+        allowed += row.allowed;
+        granted += row.granted;
+        spent += row.spent;
+    }
+    assert!(
+        seen <= spent && spent <= granted && granted <= allowed,
+        "{seen} {bill:?}"
+    );
+    let said = fleet.ctl(&[2], &["bill"]).ends(ExitKind::Done).await;
+    assert!(said.contains("wagowa") && said.contains("ledger"), "{said}");
+}
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -29,10 +29,30 @@
 /// Longest time of one call.
 const CALL_LIMIT: Duration = Duration::from_secs(20);
 
-/// A loopback address that was free a moment ago.
+/// First port that tests listen on.
+const FIRST_PORT: u32 = 10_000;
+
+/// Ports that tests listen on: all below those that the system gives to outgoing connections.
+const PORT_COUNT: u32 = 20_000;
+
+/// Distance between the first ports of two test processes that start one after the other.
+const PROCESS_STRIDE: u32 = 97;
+
+/// A loopback address that was free a moment ago and that no other call here returns soon.
+///
+/// A port that the system chooses would not do: between this call and the start of the program that
+/// binds it, an outgoing connection of another test can take it.
 pub fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
-    listener.local_addr().expect("address")
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let start = std::process::id().wrapping_mul(PROCESS_STRIDE);
+        let port = FIRST_PORT + start.wrapping_add(number) % PORT_COUNT;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 /// A new file name under the tests' own directory.
