Give up callers that stop reading, after a set time; make the gate's total a setting

Cause: a caller whose path swallows bytes would hold a server's slot and a place at the gate; the limit was fixed and untested, and so was the gate's total. Change: settings caller_stall_ms and in_flight_limit, checked and documented like the others.

--- a/crates/demo/src/scene.rs
+++ b/crates/demo/src/scene.rs
@@ -253,6 +253,8 @@
         body_limit: 1 << 20,
         key_limit: 100_000,
         key_ttl_ms: 60_000,
+        in_flight_limit: 2_048,
+        caller_stall_ms: 20_000,
     })
 }
 
--- a/crates/gate/src/caller.rs
+++ b/crates/gate/src/caller.rs
@@ -12,22 +12,22 @@
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
-/// Longest time for which a write may make no progress.
-const WRITE_STALL_LIMIT: Duration = Duration::from_secs(20);
-
 /// A caller's socket.
 #[derive(Debug)]
 pub(crate) struct CallerStream {
     stream: TcpStream,
     stalled: Option<Pin<Box<Sleep>>>,
+    /// Longest time for which a write may make no progress.
+    limit: Duration,
 }
 
 impl CallerStream {
-    /// Watches a socket.
-    pub(crate) fn new(stream: TcpStream) -> Self {
+    /// Watches a socket whose writes may make no progress for `limit`.
+    pub(crate) fn new(stream: TcpStream, limit: Duration) -> Self {
         Self {
             stream,
             stalled: None,
+            limit,
         }
     }
 
@@ -41,9 +41,8 @@
             self.stalled = None;
             return polled;
         }
-        let stalled = self
-            .stalled
-            .get_or_insert_with(|| Box::pin(sleep(WRITE_STALL_LIMIT)));
+        let limit = self.limit;
+        let stalled = self.stalled.get_or_insert_with(|| Box::pin(sleep(limit)));
         match stalled.as_mut().poll(context) {
             Poll::Ready(()) => Poll::Ready(Err(io::ErrorKind::TimedOut.into())),
             Poll::Pending => Poll::Pending,
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -23,9 +23,6 @@
 /// The policy that gates use.
 pub(crate) type GateChooser = SignalChooser;
 
-/// Requests in flight at one gate.
-const TOTAL_LIMIT: u32 = 2_048;
-
 /// State of one gate.
 #[derive(Debug)]
 pub(crate) struct GateCore {
@@ -101,6 +98,7 @@
 impl GateCore {
     /// A core that knows no service yet.
     pub(crate) fn new(settings: GateSettings, peers: GatePeers, log: EventLog) -> Rc<Self> {
+        let total = settings.in_flight_limit;
         let pool = ConnectionPool::new(ConnectionOptions::default());
         let own = peers.own();
         let platform = HttpPlatform::builder(&settings.platform).build();
@@ -113,10 +111,7 @@
             log,
             metrics: GateMetrics::new(),
             transport: GateTransport::new(pool),
-            limits: RefCell::new(AdmissionLimits::new(GateCapacity {
-                total: TOTAL_LIMIT,
-                partners: 1,
-            })),
+            limits: RefCell::new(AdmissionLimits::new(GateCapacity { total, partners: 1 })),
             services: RefCell::new(HashMap::new()),
             platform,
             documents: FollowedDocuments::default(),
@@ -192,7 +187,7 @@
             .map(|service| service.document().document.partner.clone())
             .collect();
         let capacity = GateCapacity {
-            total: TOTAL_LIMIT,
+            total: self.settings.in_flight_limit,
             partners: partners.len() as u32,
         };
         self.limits.borrow_mut().set_capacity(capacity);
--- a/crates/gate/src/listen.rs
+++ b/crates/gate/src/listen.rs
@@ -85,7 +85,9 @@
         core.metrics.callers.inc();
         let (service, open, core) = (Rc::clone(&service), open.clone(), Rc::clone(&core));
         actix_rt::spawn(async move {
-            let ended = service.call((CallerStream::new(stream), Some(peer))).await;
+            let limit = Duration::from_millis(core.settings.caller_stall_ms);
+            let stream = CallerStream::new(stream, limit);
+            let ended = service.call((stream, Some(peer))).await;
             if let Err(error) = ended {
                 let pairs = slog::o!("caller" => peer.to_string(), "cause" => error.to_string());
                 core.log.emit(
--- a/crates/settings/src/gate.rs
+++ b/crates/settings/src/gate.rs
@@ -39,6 +39,12 @@
     /// Time that an issued key can be used, in milliseconds.
     #[serde(default = "defaults::key_ttl_ms")]
     pub key_ttl_ms: u64,
+    /// Requests in flight at the gate, over all services.
+    #[serde(default = "defaults::in_flight_limit")]
+    pub in_flight_limit: u32,
+    /// Time for which a caller may take none of its answer before it is given up, in milliseconds.
+    #[serde(default = "defaults::caller_stall_ms")]
+    pub caller_stall_ms: u64,
 }
 
 /// Values of settings that a file leaves out.
@@ -58,6 +64,14 @@
     pub(super) const fn key_ttl_ms() -> u64 {
         600_000
     }
+
+    pub(super) const fn in_flight_limit() -> u32 {
+        2_048
+    }
+
+    pub(super) const fn caller_stall_ms() -> u64 {
+        20_000
+    }
 }
 
 /// Checks a settings file; adds every fault to the sheet.
@@ -89,6 +103,17 @@
     let key_ttl_ms = object.optional(sheet, "key_ttl_ms", key_ttl_ms, |field, sheet| {
         field.number(sheet, &limits::KEY_TTL_MS)
     });
+    let in_flight_limit = defaults::in_flight_limit();
+    let in_flight_limit =
+        object.optional(sheet, "in_flight_limit", in_flight_limit, |field, sheet| {
+            let count = field.number(sheet, &limits::IN_FLIGHT_LIMIT)?;
+            u32::try_from(count).ok()
+        });
+    let caller_stall_ms = defaults::caller_stall_ms();
+    let caller_stall_ms =
+        object.optional(sheet, "caller_stall_ms", caller_stall_ms, |field, sheet| {
+            field.number(sheet, &limits::CALLER_STALL_MS)
+        });
     check_clashes(&mut object, sheet);
     object.finish(sheet);
     Some(GateSettings {
@@ -102,6 +127,8 @@
         body_limit: body_limit?,
         key_limit: key_limit?,
         key_ttl_ms: key_ttl_ms?,
+        in_flight_limit: in_flight_limit?,
+        caller_stall_ms: caller_stall_ms?,
     })
 }
 
--- a/crates/settings/src/limits.rs
+++ b/crates/settings/src/limits.rs
@@ -35,6 +35,12 @@
 /// `key_ttl_ms`, in milliseconds.
 pub const KEY_TTL_MS: RangeInclusive<u64> = 100..=86_400_000;
 
+/// `in_flight_limit`, in requests at one gate over all services.
+pub const IN_FLIGHT_LIMIT: RangeInclusive<u64> = 1..=100_000;
+
+/// `caller_stall_ms`, in milliseconds.
+pub const CALLER_STALL_MS: RangeInclusive<u64> = 100..=600_000;
+
 /// `deadline_ms`, in milliseconds.
 pub const DEADLINE_MS: RangeInclusive<u64> = 1..=3_600_000;
 
--- a/crates/settings/tests/docs.rs
+++ b/crates/settings/tests/docs.rs
@@ -119,6 +119,16 @@
         ),
         case("key_limit", &settings["key_limit"], limits::KEY_LIMIT),
         case("key_ttl_ms", &settings["key_ttl_ms"], limits::KEY_TTL_MS),
+        case(
+            "in_flight_limit",
+            &settings["in_flight_limit"],
+            limits::IN_FLIGHT_LIMIT,
+        ),
+        case(
+            "caller_stall_ms",
+            &settings["caller_stall_ms"],
+            limits::CALLER_STALL_MS,
+        ),
         case("measuring.probes", &measuring["probes"], limits::PROBES),
         case(
             "measuring.window_ms",
--- a/crates/settings/tests/random.rs
+++ b/crates/settings/tests/random.rs
@@ -117,7 +117,13 @@
 /// Any valid settings.
 fn settings() -> impl Strategy<Value = GateSettings> {
     let peers = prop::collection::btree_set(2_u16..=u16::MAX, 0..5);
-    let numbers = (100_u64..=60_000, 1_usize..=64 << 20, 1_usize..=10_000_000);
+    let numbers = (
+        100_u64..=60_000,
+        1_usize..=64 << 20,
+        1_usize..=10_000_000,
+        1_u32..=100_000,
+        100_u64..=600_000,
+    );
     (
         "[a-z0-9][a-zA-Z0-9.-]{0,60}",
         peers,
@@ -138,6 +144,8 @@
             body_limit: numbers.1,
             key_limit: numbers.2,
             key_ttl_ms,
+            in_flight_limit: numbers.3,
+            caller_stall_ms: numbers.4,
         })
 }
 
--- a/tests/silent.rs
+++ b/tests/silent.rs
@@ -2,11 +2,12 @@
 
 mod support;
 
+use std::io::Write;
 use std::time::{Duration, Instant};
 
 use awc::http::Method;
 use ggs_model::ServiceDocument;
-use support::{GateProcess, StandinProcess, accept_document, call};
+use support::{GateProcess, READY_LIMIT, StandinProcess, accept_document, call, wait_until};
 
 /// Deadline of the reads, in milliseconds.
 const DEADLINE_MS: u64 = 1_000;
@@ -72,6 +73,39 @@
     }
 }
 
+/// The value of a metric without labels.
+async fn metric(gate: &GateProcess, name: &str) -> u64 {
+    let answer = call(Method::GET, &gate.url("/metrics"), &[], "").await;
+    let text = String::from_utf8(answer.expect("metrics").body).expect("text");
+    let line = text
+        .lines()
+        .find_map(|line| line.strip_prefix(name)?.strip_prefix(' '));
+    line.expect("metric").parse().expect("number")
+}
+
+#[actix_rt::test]
+async fn a_caller_that_stops_reading_gives_its_place_back() {
+    let platform = StandinProcess::platform(&[]);
+    let _servers = StandinProcess::servers(&platform.url(), "roster", 1, &[]);
+    accept_document(&platform.url(), ServiceDocument::new("roster", "wagowa")).await;
+    let mut settings = GateProcess::settings("entry-1", &platform.url());
+    settings.caller_stall_ms = 500;
+    let gate = GateProcess::spawn(settings);
+    gate.wait_for_service("roster").await;
+    let mut caller = std::net::TcpStream::connect(gate.settings.listen_callers).expect("connect");
+    let head =
+        "GET /s/roster/season?bytes=60000000 HTTP/1.1\r\nhost: gate\r\nggs-class: export\r\n\r\n";
+    caller.write_all(head.as_bytes()).expect("write");
+    wait_until("the export runs", READY_LIMIT, || async {
+        metric(&gate, "ggs_requests_in_flight").await == 1
+    })
+    .await;
+    wait_until("the export is given up", READY_LIMIT, || async {
+        metric(&gate, "ggs_requests_in_flight").await == 0
+    })
+    .await;
+}
+
 #[actix_rt::test]
 async fn a_server_is_not_blamed_for_its_path() {
     let platform = StandinProcess::platform(&[]);
