Count grants found after a lost answer, and test refusals of used keys

The metric of granted probes left out grants whose answer was lost and that were found by reading back. The end-to-end test of full memory also asserts that a refusal met before the key is looked up says "not run" only of a key that was never used.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -101,6 +101,7 @@
 /// let plan = budget.read_ended(reading, Some(&rows)).unwrap();
 /// assert_eq!(plan.granted, 10);
 /// budget.write_ended(reading, WriteEnd::Written);
+/// assert_eq!(budget.granted(), 10);
 /// assert_eq!(budget.poll(reading, allowed, true), BudgetAction::Probe);
 /// ```
 #[derive(Clone, Debug)]
@@ -138,6 +139,14 @@
         &self.gate
     }
 
+    /// Probes of the grant that is being spent; zero without one.
+    pub const fn granted(&self) -> u32 {
+        match &self.state {
+            BudgetState::Granted(grant) => grant.count,
+            BudgetState::Idle | BudgetState::Reading | BudgetState::Writing(_) => 0,
+        }
+    }
+
     /// Says what to do next. `budget` is the one of the document in force at this gate, and `wanted`
     /// says whether the gate has a use for probes.
     pub fn poll(
--- a/crates/gate/src/probes.rs
+++ b/crates/gate/src/probes.rs
@@ -118,31 +118,40 @@
     };
     let reading = rows.as_ref().map(|rows| &rows.reading);
     let plan = budget.read_ended(read_clocks(core), reading);
-    let (Some(plan), Some(rows)) = (plan, rows) else {
-        return;
-    };
-    let granted = u64::from(plan.granted);
-    let end = match table_write(name, &rows, plan) {
-        Ok(write) => match core.platform.write(&write).await {
-            Ok(WriteOutcome::Written) => WriteEnd::Written,
-            Ok(WriteOutcome::Conflict { .. }) => WriteEnd::Conflict,
-            Err(error) => {
-                log_failure(core, name, error.to_string());
-                match error {
-                    StoreError::Unavailable { .. } => WriteEnd::Refused,
-                    StoreError::Unanswered { .. } | StoreError::BadAnswer { .. } => WriteEnd::Lost,
-                }
-            }
-        },
+    if let (Some(plan), Some(rows)) = (plan, rows) {
+        let end = write_debit(core, name, &rows, plan).await;
+        budget.write_ended(read_clocks(core), end);
+    }
+    // A grant may also come from the rows: an earlier write whose answer was lost.
+    let granted = u64::from(budget.granted());
+    service.metrics().count_probes_granted(granted);
+}
+
+/// Writes a debit.
+async fn write_debit(
+    core: &GateCore,
+    name: &ServiceName,
+    rows: &BudgetRows,
+    plan: DebitPlan,
+) -> WriteEnd {
+    let write = match table_write(name, rows, plan) {
+        Ok(write) => write,
         Err(error) => {
             log_failure(core, name, error.to_string());
-            WriteEnd::Refused
+            return WriteEnd::Refused;
         }
     };
-    if end == WriteEnd::Written {
-        service.metrics().count_probes_granted(granted);
+    match core.platform.write(&write).await {
+        Ok(WriteOutcome::Written) => WriteEnd::Written,
+        Ok(WriteOutcome::Conflict { .. }) => WriteEnd::Conflict,
+        Err(error) => {
+            log_failure(core, name, error.to_string());
+            match error {
+                StoreError::Unavailable { .. } => WriteEnd::Refused,
+                StoreError::Unanswered { .. } | StoreError::BadAnswer { .. } => WriteEnd::Lost,
+            }
+        }
     }
-    budget.write_ended(read_clocks(core), end);
 }
 
 /// Reads the budget row and the document row.
--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -285,3 +285,32 @@
     assert_eq!((answer.status, verdict(&answer)), (200, "ran"));
     assert_eq!(world.runs("a").await, 1);
 }
+
+#[actix_rt::test]
+async fn only_a_key_that_was_never_used_is_refused_as_not_run() {
+    let platform = StandinProcess::platform(&[]);
+    let servers = StandinProcess::servers(&platform.url(), "ledger", 1, &[]);
+    accept_document(&platform.url(), ServiceDocument::new("ledger", "wagowa")).await;
+    let mut settings = GateProcess::settings("entry-1", &platform.url());
+    settings.key_limit = 1;
+    settings.body_limit = 1 << 10;
+    let gate = GateProcess::spawn(settings);
+    gate.wait_for_service("ledger").await;
+    let used = issue(&gate).await;
+    let unused = issue(&gate).await;
+    let answer = credit(&gate, &used, "token=a", "12 kg").await.unwrap();
+    assert_eq!((answer.status, verdict(&answer)), (200, "ran"));
+    // The memory is full: a new key is refused, and nothing known is forgotten.
+    let full = credit(&gate, &unused, "token=b", "12 kg").await.unwrap();
+    assert_eq!((full.status, verdict(&full)), (503, "not-run"));
+    let repeat = credit(&gate, &used, "token=a", "12 kg").await.unwrap();
+    assert_eq!((repeat.status, &repeat.body), (200, &answer.body));
+    // A refusal that is met before the key is looked up.
+    let long = "x".repeat(2 << 10);
+    for (key, said) in [(&used, "unknown"), (&unused, "not-run")] {
+        let refused = credit(&gate, key, "token=a", &long).await.unwrap();
+        assert_eq!((refused.status, verdict(&refused)), (413, said));
+    }
+    let runs = servers.runs().await;
+    assert_eq!((runs.get("a"), runs.get("b")), (Some(&1), None));
+}
