Answer heartbeats of gates that cannot be dialled

Cause: heartbeats went only on dialled links, so a gate that others cannot dial (a one-way cut) counted all of them as lost after 4 s, though it reached them. Ruled out: taking an echo for a heartbeat (it has neither state nor digest); answering on any connection (two gates with an alias address answer each other without end). Change: a gate that cannot dial the sender answers on the accepted connection.

--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -13,8 +13,8 @@
 use ggs_model::{BootClock, Clock, DataCentre, GateId, Moment, PeerStatus, ServiceName};
 use ggs_observe::LogEvent;
 use ggs_peer::{
-    LinkEvent, LinkFault, LinkTiming, LinkTraffic, Outbox, PROTOCOL_VERSION, PeerHeartbeat,
-    PeerHello, PeerMessage, PeerNode, PullRequest,
+    LinkEvent, LinkFault, LinkSide, LinkTiming, LinkTraffic, Outbox, PROTOCOL_VERSION,
+    PeerHeartbeat, PeerHello, PeerMessage, PeerNode, PullRequest,
 };
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
@@ -265,8 +265,14 @@
             LinkEvent::Message {
                 record,
                 message,
+                side,
                 outbox,
-            } => take_message(&core, record, message, &outbox),
+            } => {
+                if matches!(message, PeerMessage::Heartbeat(_)) && side == LinkSide::Accepted {
+                    return_heartbeat(&core, &record, &outbox);
+                }
+                take_message(&core, record, message, &outbox);
+            }
             LinkEvent::Down { address, fault } => log_fault(&core, address, &fault),
         }
     }
@@ -289,6 +295,15 @@
     }
 }
 
+/// Answers the heartbeat of a gate that this one cannot dial, on the link that the other keeps; else
+/// a one-way cut would have it count this gate as lost. Only accepted connections are answered, so
+/// that no two gates answer each other without end.
+fn return_heartbeat(core: &GateCore, record: &GateRecord, outbox: &Outbox) {
+    if !core.peers.node.is_up(record.peers) {
+        outbox.push(PeerMessage::Heartbeat(heartbeat(core)));
+    }
+}
+
 /// Renews a gate's lease.
 fn hear(core: &GateCore, record: GateRecord) {
     let gate = record.gate.clone();
--- a/crates/peer/src/connection.rs
+++ b/crates/peer/src/connection.rs
@@ -48,6 +48,15 @@
     }
 }
 
+/// Which gate made a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LinkSide {
+    /// This gate.
+    Dialled,
+    /// The other gate.
+    Accepted,
+}
+
 /// What happens on the connections of a gate.
 #[derive(Clone, Debug)]
 pub enum LinkEvent {
@@ -64,6 +73,8 @@
         record: GateRecord,
         /// What it sent.
         message: PeerMessage,
+        /// Which gate made the connection.
+        side: LinkSide,
         /// Sends to it on the same connection.
         outbox: Outbox,
     },
@@ -88,6 +99,7 @@
 /// Serves one connection until it ends; `introduced` is set once the other end has said who it is.
 pub(crate) async fn serve_connection(
     stream: TcpStream,
+    side: LinkSide,
     outbox: Outbox,
     context: &LinkContext,
     introduced: &Cell<bool>,
@@ -112,7 +124,7 @@
         return LinkFault::HungUp;
     }
     tokio::select! {
-        fault = read_frames(&mut reader, record, outbox.clone(), context) => fault,
+        fault = read_frames(&mut reader, side, record, outbox.clone(), context) => fault,
         fault = write_frames(&mut writer, &outbox, context) => fault,
     }
 }
@@ -142,6 +154,7 @@
 /// Passes on what comes; answers heartbeats.
 async fn read_frames(
     reader: &mut FrameReader,
+    side: LinkSide,
     mut record: GateRecord,
     outbox: Outbox,
     context: &LinkContext,
@@ -161,6 +174,7 @@
         let event = LinkEvent::Message {
             record: record.clone(),
             message,
+            side,
             outbox: outbox.clone(),
         };
         if context.events.send(event).await.is_err() {
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -16,7 +16,7 @@
 mod outbox;
 mod wire;
 
-pub use connection::{LinkEvent, LinkTiming};
+pub use connection::{LinkEvent, LinkSide, LinkTiming};
 pub use error::{LinkFault, WireError};
 pub use message::{
     PROTOCOL_VERSION, PeerHeartbeat, PeerHello, PeerMessage, PullRequest, ServerCount,
--- a/crates/peer/src/node.rs
+++ b/crates/peer/src/node.rs
@@ -11,7 +11,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::connection::{LinkContext, serve_connection};
-use crate::{LinkEvent, LinkFault, LinkTiming, Outbox, PeerHello, PeerMessage};
+use crate::{LinkEvent, LinkFault, LinkSide, LinkTiming, Outbox, PeerHello, PeerMessage};
 
 /// Events that wait for the gate; connections stop reading beyond it.
 const MAX_EVENTS: usize = 1_024;
@@ -108,6 +108,12 @@
         self.dialled.borrow().keys().copied().collect()
     }
 
+    /// Whether the link that this gate keeps to `address` is up.
+    pub fn is_up(&self, address: SocketAddr) -> bool {
+        let dialled = self.dialled.borrow();
+        dialled.get(&address).is_some_and(|link| link.up.get())
+    }
+
     /// Sends a message on every dialled link that is up.
     pub fn send_all(&self, message: &PeerMessage) {
         for link in self.dialled.borrow().values() {
@@ -142,7 +148,14 @@
         let accepted = Rc::clone(&accepted);
         actix_rt::spawn(async move {
             let introduced = Cell::new(false);
-            let fault = serve_connection(stream, Outbox::default(), &context, &introduced).await;
+            let fault = serve_connection(
+                stream,
+                LinkSide::Accepted,
+                Outbox::default(),
+                &context,
+                &introduced,
+            )
+            .await;
             accepted.set(accepted.get() - 1);
             let down = LinkEvent::Down { address, fault };
             // The gate has stopped if nobody listens.
@@ -197,7 +210,7 @@
         if self.hung_up.get() {
             return LinkFault::HungUp;
         }
-        serve_connection(stream, outbox, &self.context, &self.up).await
+        serve_connection(stream, LinkSide::Dialled, outbox, &self.context, &self.up).await
     }
 }
 
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -116,6 +116,7 @@
                 record,
                 message,
                 outbox,
+                ..
             } => Some((record, message, outbox)),
             _ => None,
         };
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -5,10 +5,18 @@
 use std::time::{Duration, Instant};
 
 use awc::http::Method;
-use ggs_model::ServiceDocument;
+use ggs_follow::FleetDigest;
+use ggs_member::{GateRecord, GateState};
+use ggs_model::{DataCentre, GateId, HostName, Incarnation, ServiceDocument};
+use ggs_peer::{
+    LinkEvent, LinkTiming, PROTOCOL_VERSION, PeerHeartbeat, PeerHello, PeerMessage, PeerNode,
+};
 use rustix::process::Signal;
 use support::operators::{handed_out, status, wait_handed_out};
-use support::{GateProcess, READY_LIMIT, StandinProcess, accept_document, call, wait_until};
+use support::{
+    GateProcess, READY_LIMIT, StandinProcess, accept_document, call, free_address, wait_until,
+};
+use tokio::net::TcpListener;
 
 /// Time in which a change of the live gates is known everywhere.
 const KNOWN_LIMIT: Duration = Duration::from_secs(15);
@@ -154,3 +162,53 @@
     })
     .await;
 }
+
+/// A gate whose peer address the others cannot reach, as behind a one-way cut.
+#[actix_rt::test]
+async fn gate_that_cannot_be_dialled_hears_heartbeats_on_its_own_link() {
+    let platform = start_platform().await;
+    let gate = GateProcess::spawn(GateProcess::settings("gate-0", &platform.url()));
+    gate.wait_for_service("roster").await;
+    let record = GateRecord {
+        gate: GateId {
+            host: HostName::new("gate-1"),
+            incarnation: Incarnation(1),
+        },
+        data_centre: DataCentre::new("dc1"),
+        callers: free_address(),
+        peers: free_address(),
+        state: GateState::Live,
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let hello = PeerHello {
+        version: PROTOCOL_VERSION,
+        record,
+    };
+    let (node, mut events) = PeerNode::start(listener, hello, LinkTiming::default());
+    node.dial(gate.settings.listen_peers);
+    let start = Instant::now();
+    let mut heard = 0;
+    for sequence in 0..6 {
+        let heartbeat = PeerHeartbeat {
+            sequence,
+            state: GateState::Live,
+            digest: FleetDigest::default(),
+            leaving: Vec::new(),
+            in_flight: Vec::new(),
+        };
+        node.send_all(&PeerMessage::Heartbeat(heartbeat));
+        actix_rt::time::sleep(Duration::from_secs(1)).await;
+        while let Ok(event) = events.try_recv() {
+            let is_heartbeat = matches!(
+                event,
+                LinkEvent::Message {
+                    message: PeerMessage::Heartbeat(_),
+                    ..
+                }
+            );
+            heard += usize::from(is_heartbeat);
+        }
+    }
+    // A lease is 4 s: one heartbeat, sent on connecting, is too few to stay known.
+    assert!(heard >= 4, "{heard} heartbeats in {:?}", start.elapsed());
+}
