--- a/crates/member/tests/peers.rs
+++ b/crates/member/tests/peers.rs
@@ -290,3 +290,37 @@
         "a lost gate that drained stays out"
     );
 }
+
+proptest! {
+    /// Whoever falls silent and returns, and when: in no lease are more withdrawn than the stated
+    /// share, in all never more than the cap, and this gate always hands out itself.
+    #[test]
+    fn withdrawals_stay_within_the_stated_shares(
+        silences in prop::collection::vec((0..60_u64, 0..60_u64), 1..12),
+    ) {
+        let gates = silences.len();
+        let share = (gates * 25 / 100).max(1);
+        let cap = (gates * 50 / 100).max(1);
+        let mut table = table();
+        let mut withdrawals: Vec<u64> = Vec::new();
+        for at in (0..90_000).step_by(TICK_MS as usize) {
+            let now = Moment::from_millis(at);
+            for (index, (from, length)) in silences.iter().enumerate() {
+                let silent = at / 1_000 >= from + 1 && at / 1_000 < from + 1 + length;
+                if at % 1_000 == 0 && !silent {
+                    table.hear(record(index + 1, 1), now);
+                }
+            }
+            let count = table.tick(now).withdrawn.len();
+            withdrawals.extend(std::iter::repeat_n(at, count));
+            let recent = withdrawals.iter().filter(|then| *then + 4_000 > at).count();
+            prop_assert!(recent <= share, "{recent} of {gates} within a lease");
+            let out = table.views(now).filter(|view| view.sight == PeerSight::Withdrawn).count();
+            prop_assert!(out <= cap, "{out} of {gates} in all");
+            prop_assert!(hosts(&table, now).contains(&"entry-0".to_owned()));
+        }
+        let silent = silences.iter().filter(|(from, length)| from + length > 88).count();
+        let handed = hosts(&table, Moment::from_millis(89_750)).len();
+        prop_assert_eq!(handed, 1 + gates - silent.min(cap));
+    }
+}
