--- a/tests/at_most_once.rs
+++ b/tests/at_most_once.rs
@@ -9,7 +9,8 @@
 use ggs_model::ServiceDocument;
 use rustix::process::Signal;
 use support::{
-    CallAnswer, GateProcess, READY_LIMIT, StandinProcess, accept_document, call, wait_until,
+    CallAnswer, GateProcess, READY_LIMIT, StandinProcess, accept_document, call, wait_for_peers,
+    wait_until,
 };
 
 /// Deadline of a credit in milliseconds.
@@ -52,19 +53,6 @@
     }
 }
 
-/// Waits until a gate sees `count` others live.
-async fn wait_for_peers(gate: &GateProcess, count: usize) {
-    let url = gate.url("/v1/status");
-    wait_until(&url, READY_LIMIT, || async {
-        let answer = call(Method::GET, &url, &[], "").await;
-        let status = answer.ok().and_then(|answer| {
-            serde_json::from_slice::<ggs_model::StatusAnswer>(&answer.body).ok()
-        });
-        status.is_some_and(|status| status.peers.iter().filter(|peer| peer.live).count() >= count)
-    })
-    .await;
-}
-
 /// Asks a gate for a key.
 async fn issue(gate: &GateProcess) -> String {
     let answer = call(Method::POST, &gate.url("/v1/keys/ledger"), &[], "").await;
@@ -277,3 +265,23 @@
     assert_eq!(world.runs("a").await, 1);
     assert!(world.runs("b").await <= 1);
 }
+
+#[actix_rt::test]
+async fn a_key_asked_of_a_draining_gate_outlives_it() {
+    let mut world = World::start(2).await;
+    world.gates[0].child.signal(Signal::TERM);
+    let url = world.gates[0].url("/v1/status");
+    wait_until("the gate drains", READY_LIMIT, || async {
+        let answer = call(Method::GET, &url, &[], "").await.expect("status");
+        let status: ggs_model::StatusAnswer = serde_json::from_slice(&answer.body).expect("json");
+        status.draining
+    })
+    .await;
+    let key = issue(&world.gates[0]).await;
+    let ended = world.gates[0].child.wait(READY_LIMIT).await;
+    assert!(ended.is_some_and(|status| status.success()), "{ended:?}");
+    let answer = credit(&world.gates[1], &key, "token=a", "12 kg").await;
+    let answer = answer.unwrap();
+    assert_eq!((answer.status, verdict(&answer)), (200, "ran"));
+    assert_eq!(world.runs("a").await, 1);
+}
