--- a/crates/member/tests/peers.rs
+++ b/crates/member/tests/peers.rs
@@ -306,7 +306,8 @@
         for at in (0..90_000).step_by(TICK_MS as usize) {
             let now = Moment::from_millis(at);
             for (index, (from, length)) in silences.iter().enumerate() {
-                let silent = at / 1_000 >= from + 1 && at / 1_000 < from + 1 + length;
+                let second = at / 1_000;
+                let silent = second > *from && second <= from + length;
                 if at % 1_000 == 0 && !silent {
                     table.hear(record(index + 1, 1), now);
                 }
