--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -8,6 +8,7 @@
 mod connection;
 mod faults;
 mod fuzz;
+mod fuzz_wire;
 mod http;
 mod listener;
 mod platform;
