--- a/tests/programs.rs
+++ b/tests/programs.rs
@@ -1,4 +1,4 @@
-//! The stand-in program as a process.
+//! The stand-in, load and demonstration programs as processes.
 
 mod support;
 
@@ -9,52 +9,76 @@
 use rustix::process::Signal;
 use support::{StandinProcess, call};
 
-/// A command line and its exit code.
+/// A program, its command line and its exit code.
 struct ExitCase {
+    program: &'static str,
     arguments: &'static [&'static str],
     code: i32,
 }
 
 #[test]
-fn standin_exit_codes_follow_its_manual() {
+fn exit_codes_follow_the_manuals() {
+    let standin = env!("CARGO_BIN_EXE_ggs-standin");
+    let load = env!("CARGO_BIN_EXE_ggs-load");
+    let demo = env!("CARGO_BIN_EXE_ggs-demo");
+    let case = |program, arguments, code| ExitCase {
+        program,
+        arguments,
+        code,
+    };
     let cases = [
-        ExitCase {
-            arguments: &["--help"],
-            code: 0,
-        },
-        ExitCase {
-            arguments: &["--version"],
-            code: 0,
-        },
-        ExitCase {
-            arguments: &[],
-            code: 2,
-        },
-        ExitCase {
-            arguments: &["router"],
-            code: 2,
-        },
-        ExitCase {
-            arguments: &["server", "--slots", "three"],
-            code: 2,
-        },
-        ExitCase {
-            arguments: &["server", "--colour", "red"],
-            code: 2,
-        },
-        ExitCase {
-            arguments: &["server", "--listen", "192.0.2.1:80"],
-            code: 1,
-        },
+        case(standin, &["--help"], 0),
+        case(standin, &["--version"], 0),
+        case(standin, &[], 2),
+        case(standin, &["router"], 2),
+        case(standin, &["server", "--slots", "three"], 2),
+        case(standin, &["server", "--colour", "red"], 2),
+        case(standin, &["server", "--listen", "192.0.2.1:80"], 1),
+        case(load, &["--help"], 0),
+        case(load, &["--version"], 0),
+        case(load, &[], 2),
+        case(load, &["--gate", "here"], 2),
+        case(load, &["--direct", "127.0.0.1:1", "--rate", "-3"], 2),
+        case(
+            load,
+            &["--direct", "127.0.0.1:1", "--traffic", "roster/soon"],
+            2,
+        ),
+        case(
+            load,
+            &["--gate", "127.0.0.1:1", "--direct", "127.0.0.1:1"],
+            2,
+        ),
+        case(load, &["--gate", "127.0.0.1:1", "--seconds", "1"], 1),
+        case(demo, &["--version"], 0),
+        case(demo, &["--seconds", "soon"], 2),
     ];
     for case in cases {
-        let mut command = Command::new(env!("CARGO_BIN_EXE_ggs-standin"));
+        let mut command = Command::new(case.program);
         command
             .args(case.arguments)
             .stdout(Stdio::null())
             .stderr(Stdio::null());
         let status = command.status().expect("run");
-        assert_eq!(status.code(), Some(case.code), "{:?}", case.arguments);
+        let ExitCase {
+            program, arguments, ..
+        } = case;
+        assert_eq!(status.code(), Some(case.code), "{program} {arguments:?}");
+    }
+}
+
+#[test]
+fn demonstration_ends_with_all_checks_held() {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ggs-demo"));
+    let output = command.args(["--seconds", "3"]).output().expect("run");
+    let text = String::from_utf8_lossy(&output.stdout);
+    assert_eq!(output.status.code(), Some(0), "{text}");
+    for part in [
+        "Latency and verdicts",
+        "Measuring, in probes",
+        "ran twice: 0",
+    ] {
+        assert!(text.contains(part), "\"{part}\" is missing: {text}");
     }
 }
 
