--- a/tests/leaving.rs
+++ b/tests/leaving.rs
@@ -26,12 +26,16 @@
     for _ in 0..count / 4 {
         let calls = (0..4).map(|_| async {
             let url = gate.url("/s/roster/tare?token=a");
-            call(Method::GET, &url, &[], "")
-                .await
-                .map(|answer| answer.status)
+            call(Method::GET, &url, &[], "").await
         });
-        for status in futures_util::future::join_all(calls).await {
-            assert_eq!(status, Ok(200));
+        for answer in futures_util::future::join_all(calls).await {
+            let answer = answer.expect("whole answer");
+            assert_eq!(
+                answer.status,
+                200,
+                "{}",
+                String::from_utf8_lossy(&answer.body)
+            );
         }
     }
 }
