Send requests that a leaving server refused to another server for free

Cause: such a refusal cost a retry of the allowance. A gate with few answered calls has one or two saved, so of four reads that met the first refusal of a draining server together, some got 503 not-run while two servers stood idle. Ruled out: leaving words spread too late (the failing gate is the one that met the sign); easing the test (warming the gate up first). Change: a trusted refusal with ggs-leaving is FailureKind::Leaving and costs no retry; the gate sends nothing more to that run, so this cannot grow into a storm; a refusal without ggs-leaving costs one as before.

--- a/crates/relay/src/failure.rs
+++ b/crates/relay/src/failure.rs
@@ -29,6 +29,8 @@
     ServerError,
     /// The server refused the request without running it.
     Refused,
+    /// The server refused the request without running it because it is leaving.
+    Leaving,
 }
 
 /// Why one attempt has no answer.
@@ -65,7 +67,7 @@
     /// What is known of the attempt's effect.
     pub const fn verdict(&self) -> RunVerdict {
         match self.kind {
-            FailureKind::Refused => RunVerdict::NotRun,
+            FailureKind::Refused | FailureKind::Leaving => RunVerdict::NotRun,
             _ if self.sent => RunVerdict::Unknown,
             _ => RunVerdict::NotRun,
         }
--- a/crates/relay/src/plan.rs
+++ b/crates/relay/src/plan.rs
@@ -61,7 +61,9 @@
         return NextStep::GiveUp;
     }
     if failure.verdict() == RunVerdict::NotRun {
-        // A refusal made a server work; a failed connect did not.
+        // A refusal made a server work; a failed connect did not. A leaving server gets no new work
+        // after its first refusal, so only the requests that met it in that moment go on for free;
+        // a gate with few requests has no retries saved up for them.
         let costs_retry = failure.kind == FailureKind::Refused;
         if costs_retry && !facts.may_retry {
             return NextStep::GiveUp;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -266,8 +266,14 @@
         let refused = answer.head.headers.contains_key(HeaderNames::REFUSED);
         if refused && request.trust_refusals {
             hold.set_outcome(AttemptOutcome::Failed);
+            let leaving = answer.head.headers.contains_key(HeaderNames::LEAVING);
+            let kind = if leaving {
+                FailureKind::Leaving
+            } else {
+                FailureKind::Refused
+            };
             return Err(AttemptFailure {
-                kind: FailureKind::Refused,
+                kind,
                 sent: true,
                 reused: false,
             });
--- a/crates/relay/tests/plan.rs
+++ b/crates/relay/tests/plan.rs
@@ -5,7 +5,7 @@
 use proptest::prelude::*;
 
 /// Every kind of failure.
-const KINDS: [FailureKind; 10] = [
+const KINDS: [FailureKind; 11] = [
     FailureKind::NoServer,
     FailureKind::NoCapacity,
     FailureKind::NoConnection,
@@ -16,6 +16,7 @@
     FailureKind::BadAnswer,
     FailureKind::ServerError,
     FailureKind::Refused,
+    FailureKind::Leaving,
 ];
 
 /// Steps that cost a retry, and the one that does not.
@@ -52,6 +53,7 @@
     };
     let dead = AttemptFailure::unsent(FailureKind::ConnectFailed);
     let refused = sent(FailureKind::Refused, false);
+    let leaving = sent(FailureKind::Leaving, false);
     let lost_kept = sent(FailureKind::ConnectionLost, true);
     let silent_kept = sent(FailureKind::AnswerTimeout, true);
     let silent_new = sent(FailureKind::AnswerTimeout, false);
@@ -61,6 +63,9 @@
         case("dead server, inner hop", dead, true, false, FREE),
         case("refused write", refused, false, true, OTHER),
         case("refused, inner hop", refused, true, false, NextStep::GiveUp),
+        case("leaving server, read", leaving, true, true, FREE),
+        case("leaving server, write", leaving, false, true, FREE),
+        case("leaving server, inner hop", leaving, true, false, FREE),
         case("lost kept connection, read", lost_kept, true, true, SAME),
         case(
             "silent kept connection, read",
