Measure the cost of a scrape at the size to design for

Cause: a gate renders its metrics on the thread that serves requests. Ruled out: guessing from the number of series.

--- a/crates/observe/benches/request.rs
+++ b/crates/observe/benches/request.rs
@@ -9,6 +9,9 @@
 /// Time that each counted request took.
 const ELAPSED: Duration = Duration::from_millis(4);
 
+/// Services of the plan for the next two years.
+const SERVICE_COUNT: usize = 61;
+
 fn main() {
     divan::main();
 }
@@ -37,3 +40,27 @@
         histogram.observe(ELAPSED.as_secs_f64());
     });
 }
+
+/// Answering `/metrics` with 61 services of so many partners, each with every class and verdict.
+#[divan::bench(args = [2, 61])]
+fn render(bencher: Bencher<'_, '_>, partners: usize) {
+    let metrics = GateMetrics::new();
+    for index in 0..SERVICE_COUNT {
+        let partner = format!("partner-{}", index % partners);
+        let service = format!("service-{index}");
+        let service = metrics.service(&service.as_str().into(), &partner.as_str().into());
+        for class in [
+            RequestClass::Urgent,
+            RequestClass::Standard,
+            RequestClass::Export,
+        ] {
+            for verdict in ["ran", "not-run", "unknown", "cut"] {
+                service.observe_request(class, verdict, ELAPSED);
+            }
+        }
+        service.count_refusal("no-capacity");
+        service.count_attempt("answered");
+    }
+    println!("{partners} partners: {} bytes", metrics.render().len());
+    bencher.bench_local(|| black_box(&metrics).render());
+}
