--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part")]
 
 pub mod operators;
+pub mod wire;
 
 use std::fs::File;
 use std::io::{BufRead, BufReader};
@@ -228,6 +229,8 @@
             body_limit: 1 << 20,
             key_limit: 100_000,
             key_ttl_ms: 60_000,
+            in_flight_limit: 2_048,
+            caller_stall_ms: 20_000,
         }
     }
 
