--- a/crates/pick/benches/policies/baseline.rs
+++ b/crates/pick/benches/policies/baseline.rs
@@ -158,6 +158,12 @@
         })
     }
 
+    fn start_on(&mut self, slot: ServerSlot, _class: RequestClass, _now: Moment) -> bool {
+        let server = &mut self.servers[slot.index as usize];
+        server.2 += u32::from(server.1);
+        server.1
+    }
+
     fn finish(&mut self, end: &AttemptEnd, _now: Moment) {
         self.servers[end.slot.index as usize].2 -= 1;
     }
