Give each server its own share in the connection pool

Cause: the pool has one share for all servers, fixed at 12.

Ruled out: one smaller share for all servers: documents differ by service.

Change: `ConnectionPool::replace_shares`; idle connections beyond a smaller share close at once, ones in use finish and are then closed.

The first form of the new test failed by its own raw server, which did not name the attempt; the server got an answer that does.

Conclusion: a share can shrink without a cut request.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -23,6 +23,8 @@
 struct PoolState {
     options: ConnectionOptions,
     entries: RefCell<HashMap<SocketAddr, AddressEntry>>,
+    /// Shares of single servers; others have the share of the options.
+    shares: RefCell<HashMap<SocketAddr, usize>>,
 }
 
 /// Connections to servers by address; clones share their connections.
@@ -36,7 +38,11 @@
     pub fn new(options: ConnectionOptions) -> Self {
         let entries = RefCell::new(HashMap::new());
         Self {
-            state: Rc::new(PoolState { options, entries }),
+            state: Rc::new(PoolState {
+                options,
+                entries,
+                shares: RefCell::new(HashMap::new()),
+            }),
         }
     }
 
@@ -45,6 +51,34 @@
         &self.state.options
     }
 
+    /// Replaces the shares of single servers, and closes idle connections beyond them.
+    ///
+    /// Connections in use finish their requests. A server that `shares` leaves out keeps its share
+    /// while connections to it are held.
+    pub fn replace_shares(&self, shares: impl IntoIterator<Item = (SocketAddr, usize)>) {
+        let mut entries = self.state.entries.borrow_mut();
+        let mut kept = self.state.shares.borrow_mut();
+        kept.retain(|address, _| entries.contains_key(address));
+        for (address, share) in shares {
+            kept.insert(address, share);
+            if let Some(entry) = entries.get_mut(&address) {
+                let room = share.saturating_sub(entry.busy);
+                let excess = entry.idle.len().saturating_sub(room);
+                // The oldest go.
+                entry.idle.drain(..excess);
+            }
+        }
+    }
+
+    /// Connections that may be held to `address`.
+    pub fn share(&self, address: SocketAddr) -> usize {
+        let shares = self.state.shares.borrow();
+        shares
+            .get(&address)
+            .copied()
+            .unwrap_or(self.state.options.share)
+    }
+
     /// Reserves a place for a connection, `None` when the share is in use.
     ///
     /// An idle connection that is still quiet comes with it unless `fresh` is set; an idle one is
@@ -55,6 +89,7 @@
         fresh: bool,
         now: Moment,
     ) -> Option<(ConnectionPlace, Option<ServerConnection>)> {
+        let share = self.share(address);
         let mut entries = self.state.entries.borrow_mut();
         let entry = entries.entry(address).or_default();
         let idle_limit = self.state.options.idle_limit;
@@ -69,7 +104,7 @@
             };
             found = Some(connection).filter(ServerConnection::is_quiet);
         }
-        if found.is_none() && entry.busy + entry.idle.len() >= self.state.options.share {
+        if found.is_none() && entry.busy + entry.idle.len() >= share {
             // The oldest idle connection makes room.
             if entry.idle.is_empty() {
                 return None;
@@ -123,11 +158,15 @@
 }
 
 impl ConnectionPlace {
-    /// Gives the place back together with a connection that may carry another request.
+    /// Gives the place back together with a connection that may carry another request; the
+    /// connection is closed if it is beyond a share that became smaller.
     pub(crate) fn keep(self, mut connection: ServerConnection, now: Moment) {
         connection.idle_since = Some(now);
+        let share = self.pool.share(self.address);
         let mut entries = self.pool.state.entries.borrow_mut();
-        if let Some(entry) = entries.get_mut(&self.address) {
+        if let Some(entry) = entries.get_mut(&self.address)
+            && entry.busy + entry.idle.len() <= share
+        {
             entry.idle.push(connection);
         }
     }
--- a/crates/relay/tests/connection.rs
+++ b/crates/relay/tests/connection.rs
@@ -25,6 +25,8 @@
 enum RawAnswer {
     /// Writes the text and keeps the connection.
     Text(&'static str),
+    /// Writes the text after a pause and keeps the connection.
+    TextAfter(Duration, &'static str),
     /// Writes the text and closes the connection.
     TextThenClose(&'static str),
     /// Writes a head, then body bytes one by one with this pause.
@@ -66,6 +68,10 @@
         let write = |text: &str| text.replace('@', &id).into_bytes();
         match answer {
             RawAnswer::Text(text) => stream.write_all(&write(text)).await.unwrap(),
+            RawAnswer::TextAfter(pause, text) => {
+                sleep(*pause).await;
+                stream.write_all(&write(text)).await.unwrap();
+            }
             RawAnswer::TextThenClose(text) => {
                 stream.write_all(&write(text)).await.unwrap();
                 return;
@@ -389,3 +395,44 @@
     assert_eq!(failure, AttemptFailure::unsent(FailureKind::NoConnection));
     assert_eq!(raw.accepted.get(), 2);
 }
+
+#[actix_rt::test]
+async fn a_smaller_share_closes_idle_connections() {
+    const SLOW: &[RawAnswer] = &[RawAnswer::TextAfter(
+        Duration::from_millis(100),
+        concat!(head!("4"), "tare"),
+    )];
+    let raw = start_raw(SLOW).await;
+    let address = raw.server.address;
+    let transport = Rc::new(transport());
+    let start_two = || {
+        [(); 2].map(|()| {
+            let transport = Rc::clone(&transport);
+            let server = raw.server;
+            actix_rt::spawn(async move { attempt(&transport, server, false).await })
+        })
+    };
+    for task in start_two() {
+        assert_eq!(task.await.unwrap().unwrap(), "tare");
+    }
+    assert_eq!(transport.pool().held(address), 2);
+    transport.pool().replace_shares([(address, 1)]);
+    assert_eq!(transport.pool().held(address), 1);
+
+    // Connections in use finish, and only one of them is kept.
+    transport.pool().replace_shares([(address, 2)]);
+    let tasks = start_two();
+    sleep(Duration::from_millis(20)).await;
+    transport.pool().replace_shares([(address, 1)]);
+    assert_eq!(transport.pool().held(address), 2);
+    for task in tasks {
+        assert_eq!(task.await.unwrap().unwrap(), "tare");
+    }
+    assert_eq!(transport.pool().held(address), 1);
+
+    // A share of none leaves none.
+    transport.pool().replace_shares([(address, 0)]);
+    assert_eq!(transport.pool().held(address), 0);
+    let failure = attempt(&transport, raw.server, true).await.unwrap_err();
+    assert_eq!(failure, AttemptFailure::unsent(FailureKind::NoConnection));
+}
