Bound the connections to each server by the gate's share

Cause: the document's `connections` was not read by gates; every gate held up to 12 to each server.

Ruled out: the gates seen live as the count: a paused or cut-off gate is lost after 4 s and still holds its connections. So all known gates count, lost ones for the hour that the table keeps them, and at least those that the settings name, for a gate that starts while it is cut off.

Change: the gate observes the count with its leases (250 ms) and gives the pool the shares when the count, the servers or a document change; a server of several services has the smallest share.

--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use foldhash::{HashMap, HashMapExt, HashSet};
-use ggs_limit::{AdmissionLimits, GateCapacity, RetryAllowance};
+use ggs_limit::{AdmissionLimits, ConnectionShare, GateCapacity, RetryAllowance};
 use ggs_model::{BootClock, Clock, GateId, Moment, ServiceName, VersionedDocument};
 use ggs_observe::{EventLog, GateMetrics, ServiceMetrics};
 use ggs_pick::{ServerChooser, ServerSeed, SignalChooser};
@@ -42,6 +42,8 @@
     pub(crate) keys: KeyDesk,
     /// Admits requests.
     pub(crate) limits: RefCell<AdmissionLimits>,
+    /// Decides the gate's share of the connections to each server.
+    share: RefCell<ConnectionShare>,
     /// Services by name.
     services: RefCell<HashMap<ServiceName, Rc<ServiceCore>>>,
     /// The platform's services.
@@ -112,6 +114,7 @@
             metrics: GateMetrics::new(),
             transport: GateTransport::new(pool),
             limits: RefCell::new(AdmissionLimits::new(GateCapacity { total, partners: 1 })),
+            share: RefCell::new(ConnectionShare::new(BootClock.now())),
             services: RefCell::new(HashMap::new()),
             platform,
             documents: FollowedDocuments::default(),
@@ -150,6 +153,7 @@
                 .borrow_mut()
                 .set_percent(service.document().document.retry_percent);
             self.refresh_servers(&service);
+            self.refresh_shares();
             return true;
         }
         let retries = RetryAllowance::new(versioned.document.retry_percent);
@@ -166,6 +170,7 @@
         });
         self.refresh_servers(&service);
         self.services.borrow_mut().insert(name, service);
+        self.refresh_shares();
         self.refresh_capacity();
         true
     }
@@ -199,6 +204,30 @@
         for service in services {
             self.refresh_servers(&service);
         }
+        self.refresh_shares();
+    }
+
+    /// Takes the number of gates that may hold connections to servers, this one included.
+    pub(crate) fn note_gates(&self, known: u32, now: Moment) {
+        if self.share.borrow_mut().observe(known, now) {
+            self.refresh_shares();
+        }
+    }
+
+    /// Gives the pool the gate's share of each server's connections; a server of several services
+    /// has the smallest.
+    fn refresh_shares(&self) {
+        let share = self.share.borrow();
+        let mut shares = HashMap::new();
+        for service in self.services.borrow().values() {
+            let document = Arc::clone(&service.document.borrow().document);
+            let own = share.of(document.connections) as usize;
+            for view in self.servers.usable(&document.service) {
+                let least = shares.entry(view.server.address).or_insert(own);
+                *least = own.min(*least);
+            }
+        }
+        self.transport.pool().replace_shares(shares);
     }
 
     /// Gives a service's chooser the servers that take new work.
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -16,6 +16,7 @@
     LinkEvent, LinkFault, LinkSide, LinkTiming, LinkTraffic, Outbox, PROTOCOL_VERSION,
     PeerHeartbeat, PeerHello, PeerMessage, PeerNode, PullRequest,
 };
+use ggs_settings::GateSettings;
 use tokio::net::TcpListener;
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
@@ -235,6 +236,8 @@
         .views(now)
         .filter(|view| view.sight == PeerSight::Live);
     core.metrics.gates_live.set(1 + seen.count() as i64);
+    let known = table.views(now).count();
+    core.note_gates(count_gates(&core.settings, known), now);
     if core.peers.suspect.replace(suspect) == suspect {
         return;
     }
@@ -247,6 +250,16 @@
         .emit(event, "sight of other gates changed", slog::o!());
 }
 
+/// Gates that may hold connections to servers, with this one and `known` others.
+///
+/// Lost gates are among them, as a paused or cut-off gate still holds its connections; and those that
+/// the settings name, as a gate that starts while it is cut off knows no other.
+fn count_gates(settings: &GateSettings, known: usize) -> u32 {
+    let seeds = settings.peers.iter();
+    let seeds = seeds.filter(|peer| **peer != settings.listen_peers).count();
+    1 + known.max(seeds) as u32
+}
+
 /// Adds new traffic between gates to the metrics.
 fn count_traffic(core: &GateCore) {
     let traffic = core.peers.node.traffic();
