--- a/tests/documents.rs
+++ b/tests/documents.rs
@@ -145,6 +145,47 @@
     wait_in_force(&gates, "roster", 3, IN_FORCE_LIMIT).await;
 }
 
+#[actix_rt::test]
+async fn slow_platform_accepts_edits_late_and_spreads_them_in_time() {
+    let platform = StandinProcess::platform(&[]);
+    let gates = start_gates(&platform, 4).await;
+    platform.set_faults(0, r#"{"slow_ms": 1500}"#).await;
+    for round in 1..=3_u32 {
+        let base = u64::from(round);
+        let through = &gates[round as usize];
+        let start = Instant::now();
+        accept(
+            through,
+            u128::from(base) + 100,
+            base,
+            &document("roster", round),
+        )
+        .await;
+        let accepted = start.elapsed();
+        let taken = wait_in_force(&gates, "roster", base + 1, IN_FORCE_LIMIT).await;
+        println!(
+            "platform takes 1.5 s a call: accepted after {accepted:?}, in force after {taken:?}"
+        );
+    }
+}
+
+/// Calls take longer than gates wait for them, and writes still take effect: the operator is told
+/// that nothing is known, and the same edit, sent again, tells.
+#[actix_rt::test]
+async fn edit_whose_write_outlasts_the_wait_takes_effect_once() {
+    let platform = StandinProcess::platform(&[]);
+    let gates = start_gates(&platform, 2).await;
+    platform.set_faults(0, r#"{"slow_ms": 2500}"#).await;
+    let edit = document("roster", 20);
+    let first = put(&gates[0], 7, 1, &edit).await.unwrap();
+    assert!(matches!(first.status, 503 | 504), "{first:?}");
+    platform.set_faults(0, "{}").await;
+    assert_eq!(accept(&gates[1], 7, 1, &edit).await, 2);
+    assert_eq!(accept(&gates[0], 7, 1, &edit).await, 2);
+    wait_in_force(&gates, "roster", 2, IN_FORCE_LIMIT).await;
+    assert_eq!(accept(&gates[0], 8, 2, &document("roster", 21)).await, 3);
+}
+
 #[actix_rt::test]
 async fn gate_cut_from_the_platform_alone_follows_through_the_others() {
     let platform = StandinProcess::platform(&[]);
