--- a/crates/follow/tests/accept.rs
+++ b/crates/follow/tests/accept.rs
@@ -1,12 +1,12 @@
 //! Edits against a table that loses answers, holds writes back, and takes other operators' edits.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use ggs_follow::{AcceptOutcome, DocumentEdit, EditPlan, accept_edit, document_key, plan_edit};
 use ggs_model::{DocumentRevision, EditId, ServiceDocument, ServiceName};
-use ggs_store::{RowVersion, StoreError, TableRow, TableStore, TableWrite, WriteOutcome};
+use ggs_store::{MemoryTable, StoreError, TableRow, TableStore, TableWrite, WriteOutcome};
 
 /// What happens to one write.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,33 +22,14 @@
 /// A table in memory with a list of fates for its next writes.
 #[derive(Default)]
 struct FakeTable {
-    rows: RefCell<BTreeMap<String, TableRow>>,
+    rows: RefCell<MemoryTable>,
     fates: RefCell<VecDeque<WriteFate>>,
     held: RefCell<Vec<TableWrite>>,
 }
 
 impl FakeTable {
     fn apply(&self, write: &TableWrite) -> WriteOutcome {
-        let mut rows = self.rows.borrow_mut();
-        for check in &write.checks {
-            let version = rows
-                .get(&check.key)
-                .map_or(RowVersion(0), |row| row.version);
-            if version != check.version {
-                let key = check.key.clone();
-                return WriteOutcome::Conflict { key, version };
-            }
-        }
-        for put in &write.puts {
-            let version = rows.get(&put.key).map_or(1, |row| row.version.0 + 1);
-            let row = TableRow {
-                key: put.key.clone(),
-                version: RowVersion(version),
-                value: put.value.clone(),
-            };
-            rows.insert(put.key.clone(), row);
-        }
-        WriteOutcome::Written
+        self.rows.borrow_mut().write(write)
     }
 
     fn late_writes(&self) -> Vec<WriteOutcome> {
@@ -69,11 +50,11 @@
 
 impl TableStore for FakeTable {
     async fn get(&self, key: &str) -> Result<Option<TableRow>, StoreError> {
-        Ok(self.rows.borrow().get(key).cloned())
+        Ok(self.rows.borrow().get(key))
     }
 
-    async fn list(&self, _prefix: &str) -> Result<Vec<TableRow>, StoreError> {
-        Ok(self.rows.borrow().values().cloned().collect())
+    async fn list(&self, prefix: &str) -> Result<Vec<TableRow>, StoreError> {
+        Ok(self.rows.borrow().list(prefix))
     }
 
     async fn write(&self, write: &TableWrite) -> Result<WriteOutcome, StoreError> {
@@ -108,17 +89,18 @@
 }
 
 impl FakeTable {
+    /// A number in a row; 0 if there is no row.
+    fn number(&self, key: &str, field: &str) -> u64 {
+        let row = self.rows.borrow().get(key);
+        row.map_or(0, |row| row.value[field].as_u64().unwrap())
+    }
+
     fn revision_of(&self, service: &str) -> u64 {
-        let key = document_key(&ServiceName::new(service));
-        let rows = self.rows.borrow();
-        rows.get(&key)
-            .map_or(0, |row| row.value["revision"].as_u64().unwrap())
+        self.number(&document_key(&ServiceName::new(service)), "revision")
     }
 
     fn fleet(&self) -> u64 {
-        let rows = self.rows.borrow();
-        rows.get("documents/head")
-            .map_or(0, |row| row.value["fleet"].as_u64().unwrap())
+        self.number("documents/head", "fleet")
     }
 }
 
