--- /dev/null
+++ b/crates/gate/src/forward.rs
@@ -0,0 +1,197 @@
+//! Requests to services.
+
+use std::rc::Rc;
+
+use actix_http::header::HeaderMap;
+use actix_http::{Request, Response, StatusCode};
+use ggs_limit::EntryRefusal;
+use ggs_model::{Clock, HeaderNames, RunVerdict, ServiceName};
+use ggs_relay::{AnswerBody, RelayAnswer, RelayBody, RelayFailure, RelayLoop, RelayRequest};
+
+use crate::answer::{self, CallerFault};
+use crate::body::{GateBody, StreamedBody};
+use crate::core::{GateChooser, GateCore, ServiceCore};
+use crate::keyed;
+use crate::request::{self, RequestTerms, ServiceRequest};
+use crate::span::RequestSpan;
+use crate::transport::ServiceTransport;
+
+/// The result of relaying a request.
+pub(crate) type RelayResult = Result<GateAnswer, RelayFailure>;
+
+/// A server's answer, with its attempt still counted.
+pub(crate) type GateAnswer = RelayAnswer<RelayBody, GateChooser, ggs_model::BootClock>;
+
+/// A request that was admitted, with its body.
+#[derive(Debug)]
+pub(crate) struct AdmittedRequest {
+    /// Name of the service.
+    pub(crate) service_name: ServiceName,
+    /// The service.
+    pub(crate) service: Rc<ServiceCore>,
+    /// The request, ready for the relay.
+    pub(crate) request: RelayRequest,
+    /// Keeps the request admitted.
+    pub(crate) span: RequestSpan,
+}
+
+/// Why a request was not admitted.
+#[derive(Debug)]
+enum EntryFault {
+    Faulty(CallerFault),
+    Refused(EntryRefusal),
+}
+
+impl From<CallerFault> for EntryFault {
+    fn from(fault: CallerFault) -> Self {
+        Self::Faulty(fault)
+    }
+}
+
+/// Serves `/s/{service}/…`.
+pub(crate) async fn serve(
+    core: &Rc<GateCore>,
+    service_name: &str,
+    target: &str,
+    mut request: Request,
+) -> Response<GateBody> {
+    let key = match keyed::read_key(&request.head().headers) {
+        Ok(key) => key,
+        Err(fault) => return answer::fault(fault),
+    };
+    let admitted = admit(core, service_name, target, &mut request).await;
+    match (admitted, key) {
+        (Ok(admitted), None) => relay_unkeyed(core, admitted).await,
+        (Ok(admitted), Some(key)) => keyed::serve(core, admitted, key).await,
+        (Err(fault), key) => {
+            let now = core.clock.now();
+            let verdict = key.map_or(RunVerdict::NotRun, |key| {
+                core.keys.refusal_verdict(&key, now)
+            });
+            match fault {
+                EntryFault::Faulty(fault) => answer::keyed_fault(fault, verdict),
+                EntryFault::Refused(refusal) => answer::entry_refusal(&refusal, verdict),
+            }
+        }
+    }
+}
+
+/// Checks and admits a request, and reads its body.
+async fn admit(
+    core: &Rc<GateCore>,
+    service_name: &str,
+    target: &str,
+    request: &mut Request,
+) -> Result<AdmittedRequest, EntryFault> {
+    let came = core.clock.now();
+    let service = core.service(service_name);
+    let service = service.ok_or(CallerFault::UnknownService)?;
+    service.note_request(came);
+    let payload = request.take_payload();
+    let head = ServiceRequest {
+        method: request.method(),
+        target,
+        headers: &request.head().headers,
+    };
+    let document = service.document().document;
+    let terms = RequestTerms::read(&document, &head, came)?;
+    let span = RequestSpan::enter(core, &service, &document, terms.class, came);
+    let span = span.map_err(|refusal| {
+        let reason = answer::entry_reason(refusal.cause);
+        service.metrics().count_refusal(reason);
+        EntryFault::Refused(refusal)
+    })?;
+    let time = terms.deadline.since(came);
+    let body = request::read_body(payload, core.settings.body_limit, time).await?;
+    let request = terms.into_request(&document, &head, body);
+    Ok(AdmittedRequest {
+        service_name: document.service.clone(),
+        service,
+        request,
+        span,
+    })
+}
+
+/// Relays a request without a key.
+async fn relay_unkeyed(core: &GateCore, admitted: AdmittedRequest) -> Response<GateBody> {
+    let AdmittedRequest {
+        service,
+        request,
+        mut span,
+        ..
+    } = admitted;
+    match relay(core, &service, &request).await {
+        Ok(relayed) => answered(relayed, request.idempotent, span),
+        Err(failure) => {
+            span.set_verdict(failure.verdict.into());
+            service.metrics().count_refusal(failure.kind.into());
+            answer::relay_failure(&failure)
+        }
+    }
+}
+
+/// Relays a prepared request to a server.
+pub(crate) async fn relay(
+    core: &GateCore,
+    service: &ServiceCore,
+    request: &RelayRequest,
+) -> RelayResult {
+    let metrics = service.metrics();
+    let transport = ServiceTransport {
+        gate: &core.transport,
+        metrics: &metrics,
+    };
+    let relay = RelayLoop {
+        transport: &transport,
+        chooser: &service.chooser,
+        retries: &service.retries,
+        clock: core.clock,
+    };
+    relay.run(request).await
+}
+
+/// The caller's answer from the server's.
+pub(crate) fn answered(
+    relayed: GateAnswer,
+    idempotent: bool,
+    mut span: RequestSpan,
+) -> Response<GateBody> {
+    let RelayAnswer { answer, hold } = relayed;
+    let status = answer.head.status;
+    let verdict = answer_verdict(status, idempotent);
+    span.set_verdict(if verdict == RunVerdict::Ran {
+        "ran"
+    } else {
+        "unknown"
+    });
+    let body = match answer.body {
+        AnswerBody::Whole(bytes) => GateBody::whole(bytes),
+        AnswerBody::Streamed(body) => GateBody::Streamed(Box::new(StreamedBody {
+            body,
+            hold: Some(hold),
+            span,
+        })),
+    };
+    let mut response = Response::with_body(status, body);
+    copy_headers(&answer.head.headers, response.headers_mut());
+    answer::set_header(&mut response, HeaderNames::VERDICT, verdict.into());
+    response
+}
+
+/// What a server's own answer says of the request's effect.
+pub(crate) fn answer_verdict(status: StatusCode, idempotent: bool) -> RunVerdict {
+    if status.is_server_error() && !idempotent {
+        RunVerdict::Unknown
+    } else {
+        RunVerdict::Ran
+    }
+}
+
+/// Copies the headers that are passed on to callers.
+pub(crate) fn copy_headers(from: &HeaderMap, to: &mut HeaderMap) {
+    for (name, value) in request::end_to_end(from) {
+        if name.as_str() != HeaderNames::REQUEST_ID {
+            to.append(name, value);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gate/src/handle.rs
@@ -0,0 +1,161 @@
+//! Start and end of a gate.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ggs_member::{GateRecord, GateState};
+use ggs_model::{GateId, Incarnation};
+use ggs_observe::{EventLog, LogEvent};
+use ggs_settings::GateSettings;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::core::GateCore;
+use crate::listen::{self, OpenCallers};
+use crate::peers::{self, GatePeers};
+use crate::{documents, probes, servers};
+
+/// Time beyond an entry answer's life for which a draining gate still accepts callers.
+const DRAIN_MARGIN: Duration = Duration::from_millis(500);
+
+/// Time between two sweeps of idle server connections.
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+
+/// Why a gate did not start.
+#[derive(Debug)]
+pub enum StartError {
+    /// An address could not be bound.
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        cause: io::Error,
+    },
+}
+
+impl fmt::Display for StartError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind { address, cause } => {
+                write!(formatter, "address {address} cannot be bound: {cause}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for StartError {}
+
+/// A running gate.
+#[derive(Debug)]
+pub struct GateHandle {
+    core: Rc<GateCore>,
+    open: OpenCallers,
+    stop: watch::Sender<bool>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+/// Starts a gate on the current actix-rt runtime.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn start(settings: GateSettings, log: EventLog) -> Result<GateHandle, StartError> {
+    let callers = bind(settings.listen_callers).await?;
+    let peers = bind(settings.listen_peers).await?;
+    let record = own_record(&settings, &callers, &peers);
+    let (peers, events) = GatePeers::start(record, peers);
+    let core = GateCore::new(settings, peers, log);
+    let (stop, stopped) = watch::channel(false);
+    let open = OpenCallers::default();
+    let tasks = vec![
+        actix_rt::spawn(listen::accept(
+            Rc::clone(&core),
+            callers,
+            open.clone(),
+            stopped,
+        )),
+        actix_rt::spawn(documents::follow_table(Rc::clone(&core))),
+        actix_rt::spawn(servers::follow_list(Rc::clone(&core))),
+        actix_rt::spawn(servers::follow_signs(Rc::clone(&core))),
+        actix_rt::spawn(peers::serve_events(Rc::clone(&core), events)),
+        actix_rt::spawn(peers::keep_time(Rc::clone(&core))),
+        actix_rt::spawn(probes::measure(Rc::clone(&core))),
+        actix_rt::spawn(sweep(Rc::clone(&core))),
+    ];
+    let pairs = slog::o!(
+        "callers" => core.caller_address().to_string(),
+        "gate" => core.id.to_string(),
+    );
+    core.log.emit(LogEvent::GateStarted, "gate listens", pairs);
+    Ok(GateHandle {
+        core,
+        open,
+        stop,
+        tasks,
+    })
+}
+
+/// Binds an address.
+async fn bind(address: SocketAddr) -> Result<TcpListener, StartError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|cause| StartError::Bind { address, cause })
+}
+
+/// What this run of the gate says of itself.
+fn own_record(settings: &GateSettings, callers: &TcpListener, peers: &TcpListener) -> GateRecord {
+    let gate = GateId {
+        host: settings.host.clone(),
+        incarnation: Incarnation(rand::random()),
+    };
+    GateRecord {
+        gate,
+        data_centre: settings.data_centre.clone(),
+        callers: callers.local_addr().unwrap_or(settings.listen_callers),
+        peers: peers.local_addr().unwrap_or(settings.listen_peers),
+        state: GateState::Live,
+    }
+}
+
+/// Closes idle server connections that are too old, and forgets keys whose lives have ended.
+async fn sweep(core: Rc<GateCore>) {
+    loop {
+        tokio::time::sleep(SWEEP_PERIOD).await;
+        let now = ggs_model::Clock::now(&core.clock);
+        core.transport.pool().sweep(now);
+        let entries = core.keys.sweep(now);
+        core.metrics.key_entries.set(entries as i64);
+    }
+}
+
+impl GateHandle {
+    /// The address that callers reach.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.core.caller_address()
+    }
+
+    /// Drains the gate: it is no longer handed out, serves until the last entry answer that named
+    /// it has run out, finishes every request, and ends.
+    pub async fn drain(self) {
+        self.core
+            .log
+            .emit(LogEvent::GateDraining, "gate drains", slog::o!());
+        self.core.set_draining();
+        let kept = Duration::from_millis(self.core.settings.entry_ttl_ms);
+        tokio::time::sleep(kept + DRAIN_MARGIN).await;
+        // Receivers end with their tasks.
+        let _ = self.stop.send(true);
+        self.open.finished().await;
+        self.core.keys.finished().await;
+        self.core.peers.say_goodbye().await;
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.core
+            .log
+            .emit(LogEvent::GateStopped, "gate ends", slog::o!());
+    }
+}
--- /dev/null
+++ b/crates/gate/src/keyed.rs
@@ -0,0 +1,185 @@
+//! Requests with an issued key.
+//!
+//! The gate that issued a key runs its request at most once; other gates pass the request on to it.
+//! A run goes on when its caller leaves, so that a repeat of the key finds the answer. "Not run" is
+//! said of a keyed request only where the issuing gate knows that nothing ran under the key: a caller
+//! that repeats a key after a lost answer must not take the refusal of the repeat for the fate of the
+//! first request, and send it again under a new key.
+
+use std::rc::Rc;
+
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Response, StatusCode};
+use bytes::Bytes;
+use ggs_model::{Clock, HeaderNames, RunVerdict};
+use ggs_once::{KeptAnswer, KeyAdmission, KeyOutcome, RequestKey, RequestParts, RunTicket};
+use ggs_relay::{AnswerBody, RelayBody, RelayFailure, RelayRequest, ServerAnswer};
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::answer::{self, CallerFault};
+use crate::body::GateBody;
+use crate::core::GateCore;
+use crate::forward::{self, AdmittedRequest, GateAnswer};
+use crate::key_pass::pass_on;
+use crate::key_refusal::{KeyRefusal, refuse};
+use crate::keys::KeyRun;
+use crate::request;
+use crate::span::RequestSpan;
+
+/// The key that a request carries, if any.
+pub(crate) fn read_key(headers: &HeaderMap) -> Result<Option<RequestKey>, CallerFault> {
+    let Some(value) = headers.get(HeaderNames::KEY) else {
+        return Ok(None);
+    };
+    let text = value.to_str().map_err(|_| CallerFault::BadKey)?;
+    text.parse().map(Some).map_err(|_| CallerFault::BadKey)
+}
+
+/// Serves an admitted request that carries `key`.
+pub(crate) async fn serve(
+    core: &Rc<GateCore>,
+    mut admitted: AdmittedRequest,
+    key: RequestKey,
+) -> Response<GateBody> {
+    let request = &admitted.request;
+    let target = request.target.to_string();
+    let fingerprint = core.keys.fingerprint(&RequestParts {
+        service: admitted.service_name.as_str(),
+        method: request.method.as_str(),
+        path: &target,
+        body: &request.body,
+    });
+    loop {
+        let next_end = core.keys.next_end();
+        let now = core.clock.now();
+        let admission = core.keys.admit(&key, fingerprint, now);
+        match admission {
+            KeyAdmission::Run(ticket) => return run(core, admitted, ticket).await,
+            KeyAdmission::Elsewhere(gate) => return pass_on(core, admitted, gate).await,
+            KeyAdmission::Replay(kept) => {
+                admitted.span.set_verdict("replayed");
+                return replay(&kept);
+            }
+            KeyAdmission::Running => {
+                let left = admitted.request.deadline.since(now);
+                if timeout(left, next_end).await.is_err() {
+                    return refuse(admitted, &KeyRefusal::STILL_RUNNING);
+                }
+            }
+            KeyAdmission::Settled(RunVerdict::Ran) => {
+                return refuse(admitted, &KeyRefusal::ANSWER_NOT_KEPT);
+            }
+            KeyAdmission::Settled(_) => return refuse(admitted, &KeyRefusal::OUTCOME_UNKNOWN),
+            KeyAdmission::Conflict => return refuse(admitted, &KeyRefusal::CONFLICT),
+            KeyAdmission::Expired => return refuse(admitted, &KeyRefusal::EXPIRED),
+            KeyAdmission::NotIssued => return refuse(admitted, &KeyRefusal::NOT_ISSUED),
+            KeyAdmission::Full => return refuse(admitted, &KeyRefusal::MEMORY_FULL),
+        }
+    }
+}
+
+/// How a run ended, for the caller that started it.
+#[derive(Debug)]
+enum RunEnd {
+    Kept(KeptAnswer),
+    Streamed(Box<GateAnswer>, RequestSpan),
+    Failed(RelayFailure),
+}
+
+/// Runs the request; the run goes on when the caller leaves.
+async fn run(
+    core: &Rc<GateCore>,
+    admitted: AdmittedRequest,
+    ticket: RunTicket,
+) -> Response<GateBody> {
+    let key_run = KeyRun::begin(core, ticket);
+    let (sender, receiver) = oneshot::channel();
+    let core = Rc::clone(core);
+    actix_rt::spawn(async move {
+        let end = run_detached(&core, admitted, key_run).await;
+        // A caller that left is told by the next request with the key.
+        drop(sender.send(end));
+    });
+    match receiver.await {
+        Ok(RunEnd::Kept(kept)) => replay(&kept),
+        Ok(RunEnd::Streamed(relayed, span)) => forward::answered(*relayed, false, span),
+        Ok(RunEnd::Failed(failure)) => answer::relay_failure(&failure),
+        Err(_) => {
+            let refusal = KeyRefusal::OUTCOME_UNKNOWN;
+            answer::failure(refusal.status, refusal.verdict, refusal.reason, None)
+        }
+    }
+}
+
+/// Relays the request and ends its run.
+async fn run_detached(core: &GateCore, admitted: AdmittedRequest, key_run: KeyRun) -> RunEnd {
+    let AdmittedRequest {
+        service,
+        request,
+        mut span,
+        ..
+    } = admitted;
+    // Whatever the document says, a request with a key is not sent again once it may have run.
+    let request = RelayRequest {
+        idempotent: false,
+        ..request
+    };
+    let relayed = match forward::relay(core, &service, &request).await {
+        Ok(relayed) => relayed,
+        Err(failure) => {
+            span.set_verdict(failure.verdict.into());
+            service.metrics().count_refusal(failure.kind.into());
+            key_run.end(match failure.verdict {
+                RunVerdict::NotRun => KeyOutcome::NotRun,
+                RunVerdict::Ran | RunVerdict::Unknown => KeyOutcome::Unknown,
+            });
+            return RunEnd::Failed(failure);
+        }
+    };
+    let verdict = forward::answer_verdict(relayed.answer.head.status, false);
+    if let AnswerBody::Whole(body) = &relayed.answer.body {
+        let kept = kept_answer(&relayed.answer, Bytes::clone(body));
+        key_run.end(KeyOutcome::Answered(kept.clone()));
+        span.set_verdict(verdict.into());
+        return RunEnd::Kept(kept);
+    }
+    key_run.end(match verdict {
+        RunVerdict::Ran => KeyOutcome::AnsweredUnkept,
+        RunVerdict::NotRun | RunVerdict::Unknown => KeyOutcome::Unknown,
+    });
+    RunEnd::Streamed(Box::new(relayed), span)
+}
+
+/// What is kept of a server's answer.
+fn kept_answer(answer: &ServerAnswer<RelayBody>, body: Bytes) -> KeptAnswer {
+    let headers = request::end_to_end(&answer.head.headers);
+    let headers = headers.iter().map(|(name, value)| {
+        let value = Bytes::copy_from_slice(value.as_bytes());
+        (name.as_str().to_owned(), value)
+    });
+    KeptAnswer {
+        status: answer.head.status.as_u16(),
+        headers: headers.collect(),
+        body,
+    }
+}
+
+/// The caller's answer from a kept one.
+fn replay(kept: &KeptAnswer) -> Response<GateBody> {
+    // The status came from an answer, so it is valid.
+    let status = StatusCode::from_u16(kept.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::with_body(status, GateBody::whole(Bytes::clone(&kept.body)));
+    for (name, value) in &kept.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value)
+            && name.as_str() != HeaderNames::REQUEST_ID
+        {
+            response.headers_mut().append(name, value);
+        }
+    }
+    let verdict = forward::answer_verdict(status, false);
+    answer::set_header(&mut response, HeaderNames::VERDICT, verdict.into());
+    response
+}
--- a/crates/pick/src/least.rs
+++ b/crates/pick/src/least.rs
@@ -1,6 +1,6 @@
 //! Least own in-flight: the naive policy that others are compared with.
 
-use ggs_model::{LoadReport, Moment, ServerId};
+use ggs_model::{LoadReport, Moment, RequestClass, ServerId};
 
 use crate::table::ServerTable;
 use crate::{AttemptEnd, ChoiceRefusal, ChoiceRequest, ServerChooser, ServerSeed, ServerSlot};
@@ -41,6 +41,14 @@
         Ok(self.servers.start(chosen))
     }
 
+    fn start_on(&mut self, slot: ServerSlot, _class: RequestClass, _now: Moment) -> bool {
+        let open = self.servers.get(slot).is_some_and(|entry| entry.open);
+        if open {
+            self.servers.start(slot.index as usize);
+        }
+        open
+    }
+
     fn finish(&mut self, end: &AttemptEnd, _now: Moment) {
         self.servers.end(end.slot);
     }
--- /dev/null
+++ b/crates/relay/src/pool.rs
@@ -0,0 +1,182 @@
+//! Idle connections to servers, and the count of all connections held to each.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use foldhash::{HashMap, HashMapExt};
+use ggs_model::Moment;
+
+use crate::{ConnectionOptions, ServerConnection};
+
+/// Connections to one address.
+#[derive(Debug, Default)]
+struct AddressEntry {
+    /// Connections between two requests, the latest used last.
+    idle: Vec<ServerConnection>,
+    /// Connections in use.
+    busy: usize,
+}
+
+/// State shared by the pool and the connections out of it.
+#[derive(Debug)]
+struct PoolState {
+    options: ConnectionOptions,
+    entries: RefCell<HashMap<SocketAddr, AddressEntry>>,
+    /// Shares of single servers; others have the share of the options.
+    shares: RefCell<HashMap<SocketAddr, usize>>,
+}
+
+/// Connections to servers by address; clones share their connections.
+#[derive(Clone, Debug)]
+pub struct ConnectionPool {
+    state: Rc<PoolState>,
+}
+
+impl ConnectionPool {
+    /// A pool without connections.
+    pub fn new(options: ConnectionOptions) -> Self {
+        let entries = RefCell::new(HashMap::new());
+        Self {
+            state: Rc::new(PoolState {
+                options,
+                entries,
+                shares: RefCell::new(HashMap::new()),
+            }),
+        }
+    }
+
+    /// Limits of the pool's connections.
+    pub fn options(&self) -> &ConnectionOptions {
+        &self.state.options
+    }
+
+    /// Replaces the shares of single servers, and closes idle connections beyond them.
+    ///
+    /// Connections in use finish their requests. A server that `shares` leaves out keeps its share
+    /// while connections to it are held.
+    pub fn replace_shares(&self, shares: impl IntoIterator<Item = (SocketAddr, usize)>) {
+        let mut entries = self.state.entries.borrow_mut();
+        let mut kept = self.state.shares.borrow_mut();
+        kept.retain(|address, _| entries.contains_key(address));
+        for (address, share) in shares {
+            kept.insert(address, share);
+            if let Some(entry) = entries.get_mut(&address) {
+                let room = share.saturating_sub(entry.busy);
+                let excess = entry.idle.len().saturating_sub(room);
+                // The oldest go.
+                entry.idle.drain(..excess);
+            }
+        }
+    }
+
+    /// Connections that may be held to `address`.
+    pub fn share(&self, address: SocketAddr) -> usize {
+        let shares = self.state.shares.borrow();
+        shares
+            .get(&address)
+            .copied()
+            .unwrap_or(self.state.options.share)
+    }
+
+    /// Reserves a place for a connection, `None` when the share is in use.
+    ///
+    /// An idle connection that is still quiet comes with it unless `fresh` is set; an idle one is
+    /// closed where a fresh one would exceed the share.
+    pub(crate) fn reserve(
+        &self,
+        address: SocketAddr,
+        fresh: bool,
+        now: Moment,
+    ) -> Option<(ConnectionPlace, Option<ServerConnection>)> {
+        let share = self.share(address);
+        let mut entries = self.state.entries.borrow_mut();
+        let entry = entries.entry(address).or_default();
+        let idle_limit = self.state.options.idle_limit;
+        entry.idle.retain(|connection| {
+            let since = connection.idle_since.unwrap_or(now);
+            now.since(since) <= idle_limit
+        });
+        let mut found = None;
+        while !fresh && found.is_none() {
+            let Some(connection) = entry.idle.pop() else {
+                break;
+            };
+            found = Some(connection).filter(ServerConnection::is_quiet);
+        }
+        if found.is_none() && entry.busy + entry.idle.len() >= share {
+            // The oldest idle connection makes room.
+            if entry.idle.is_empty() {
+                return None;
+            }
+            entry.idle.remove(0);
+        }
+        entry.busy += 1;
+        let place = ConnectionPlace {
+            pool: self.clone(),
+            address,
+        };
+        Some((place, found))
+    }
+
+    /// Closes the idle connections to `address`.
+    ///
+    /// Whatever lost track of one connection between two hosts has often lost track of the others.
+    pub fn discard_idle(&self, address: SocketAddr) {
+        if let Some(entry) = self.state.entries.borrow_mut().get_mut(&address) {
+            entry.idle.clear();
+        }
+    }
+
+    /// Connections held to `address`, idle ones included.
+    pub fn held(&self, address: SocketAddr) -> usize {
+        let entries = self.state.entries.borrow();
+        entries
+            .get(&address)
+            .map_or(0, |entry| entry.busy + entry.idle.len())
+    }
+
+    /// Closes idle connections that are too old or were closed by their server, and forgets
+    /// addresses without connections.
+    pub fn sweep(&self, now: Moment) {
+        let idle_limit = self.state.options.idle_limit;
+        self.state.entries.borrow_mut().retain(|_, entry| {
+            entry.idle.retain(|connection| {
+                let since = connection.idle_since.unwrap_or(now);
+                now.since(since) <= idle_limit && connection.is_quiet()
+            });
+            entry.busy > 0 || !entry.idle.is_empty()
+        });
+    }
+}
+
+/// A reserved place; given back when dropped.
+#[derive(Debug)]
+pub(crate) struct ConnectionPlace {
+    pool: ConnectionPool,
+    address: SocketAddr,
+}
+
+impl ConnectionPlace {
+    /// Gives the place back together with a connection that may carry another request; the
+    /// connection is closed if it is beyond a share that became smaller.
+    pub(crate) fn keep(self, mut connection: ServerConnection, now: Moment) {
+        connection.idle_since = Some(now);
+        let share = self.pool.share(self.address);
+        let mut entries = self.pool.state.entries.borrow_mut();
+        if let Some(entry) = entries.get_mut(&self.address)
+            && entry.busy + entry.idle.len() <= share
+        {
+            entry.idle.push(connection);
+        }
+    }
+}
+
+impl Drop for ConnectionPlace {
+    fn drop(&mut self) {
+        let mut entries = self.pool.state.entries.borrow_mut();
+        if let Some(entry) = entries.get_mut(&self.address) {
+            entry.busy = entry.busy.saturating_sub(1);
+        }
+    }
+}
