--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -12,7 +12,7 @@
     LinkEvent, LinkTiming, PROTOCOL_VERSION, PeerHeartbeat, PeerHello, PeerMessage, PeerNode,
 };
 use rustix::process::Signal;
-use support::operators::{handed_out, status, wait_handed_out};
+use support::operators::{handed_out, peer_bytes, status, wait_handed_out};
 use support::{
     GateProcess, READY_LIMIT, StandinProcess, accept_document, call, free_address, wait_until,
 };
@@ -24,6 +24,9 @@
 /// Time in which a gate that was told to stop is no longer handed out.
 const DRAIN_LIMIT: Duration = Duration::from_secs(3);
 
+/// What a gate may spend on control.
+const CONTROL_BYTES_PER_SECOND: f64 = 18_000.0;
+
 /// Addresses that a gate hands out for `roster`.
 async fn entries(gate: &GateProcess) -> Vec<String> {
     let answer = call(Method::GET, &gate.url("/v1/entries/roster"), &[], "")
@@ -153,10 +156,19 @@
     );
     let answer = call(Method::GET, &kept[0].url("/v1/entries/roster"), &[], "").await;
     assert_eq!(answer.unwrap().status, 200, "serves on");
+    let before = peer_bytes(&kept[0]).await;
+    let start = Instant::now();
     for gate in frozen {
         gate.child.signal(Signal::CONT);
     }
     wait_handed_out(&gates, 8, KNOWN_LIMIT).await;
+    actix_rt::time::sleep(Duration::from_secs(3)).await;
+    let rate = (peer_bytes(&kept[0]).await - before) / start.elapsed().as_secs_f64();
+    println!(
+        "exchanged while sight returned: {rate:.0} B/s over {:?}",
+        start.elapsed()
+    );
+    assert!(rate < CONTROL_BYTES_PER_SECOND, "{rate} B/s");
     wait_until("settled", READY_LIMIT, || async {
         status(&kept[0]).await.is_some_and(|status| !status.stale)
     })
--- a/tests/support/operators.rs
+++ b/tests/support/operators.rs
@@ -93,3 +93,16 @@
         .await;
     }
 }
+
+/// Payload bytes that a gate has exchanged with others, in both directions.
+pub async fn peer_bytes(gate: &GateProcess) -> f64 {
+    let answer = call(Method::GET, &gate.url("/metrics"), &[], "")
+        .await
+        .expect("metrics");
+    let text = String::from_utf8(answer.body).expect("text");
+    let lines = text
+        .lines()
+        .filter(|line| line.starts_with("ggs_peer_traffic"));
+    let values = lines.filter_map(|line| line.rsplit(' ').next()?.parse::<f64>().ok());
+    values.sum()
+}
