Check shares under views that drop paused gates early

Cause: a trial with shares that grow at once passed the random check: its views kept lost gates for 20 s.

Change: views of the check drop gates after 3 s or after 20 s, drawn for each gate.

--- a/crates/limit/tests/connection_share.rs
+++ b/crates/limit/tests/connection_share.rs
@@ -12,9 +12,12 @@
 /// Longest time, in steps, after which a view shows a gate that came, went or woke; a lease of 4 s.
 const MAX_LAG: usize = 8;
 
-/// The steps after which a gate that was not heard leaves the other views; shorter than in use, where
-/// lost gates stay known for an hour.
-const FORGET: usize = 40;
+/// Steps after which a view drops a gate that was not heard: the end of a lease of 4 s whose last
+/// heartbeat came a second before.
+const LEASE_STEPS: usize = 6;
+
+/// Steps for which a view keeps lost gates; shorter than the hour in use.
+const KEEP_STEPS: usize = 40;
 
 /// One gate: it runs in the steps from `start`, pauses once, and ends.
 #[derive(Clone, Debug)]
@@ -24,6 +27,8 @@
     pause: std::ops::Range<usize>,
     /// Steps by which its view of the others lags.
     lag: usize,
+    /// Steps without a heartbeat after which it drops another.
+    forget: usize,
 }
 
 impl GateLife {
@@ -35,20 +40,27 @@
     /// Whether the gate knows another, which it heard while both ran.
     fn knows(&self, other: &Self, step: usize) -> bool {
         let seen = step.saturating_sub(self.lag);
-        let mut heard = seen.saturating_sub(FORGET)..=seen;
+        let mut heard = seen.saturating_sub(self.forget)..=seen;
         heard.any(|at| self.runs(at) && other.runs(at))
     }
 }
 
 /// Lives that start in `starts`, and pause for less than `pauses` steps after at least `before`.
-fn life(starts: usize, before: usize, pauses: usize) -> impl Strategy<Value = GateLife> {
+fn life(
+    starts: usize,
+    before: usize,
+    pauses: usize,
+    forget: &'static [usize],
+) -> impl Strategy<Value = GateLife> {
     let pause = prop_oneof![Just(0), 1..pauses];
     let times = (0..starts, 1_usize..200, before..before + 100);
-    (times, pause, 0..MAX_LAG).prop_map(|((start, length, at), pause, lag)| GateLife {
+    let view = (0..MAX_LAG, prop::sample::select(forget));
+    (times, pause, view).prop_map(|((start, length, at), pause, (lag, forget))| GateLife {
         start,
         end: start + length,
         pause: start + at..start + at + pause,
         lag,
+        forget,
     })
 }
 
@@ -93,7 +105,7 @@
 
     #[test]
     fn shares_stay_within_the_limit_while_gates_come_go_and_pause(
-        lives in prop::collection::vec(life(150, 0, 120), 1..=MAX_GATES as usize),
+        lives in prop::collection::vec(life(150, 0, 120, &[LEASE_STEPS, KEEP_STEPS]), 1..=MAX_GATES as usize),
         limit in limits(),
     ) {
         let counted = (SHARE_PAUSE.as_millis() / STEP.as_millis()) as usize;
@@ -102,7 +114,7 @@
 
     #[test]
     fn shares_of_gates_that_met_hold_through_long_pauses(
-        lives in prop::collection::vec(life(20, 40, FORGET - MAX_LAG), 1..=MAX_GATES as usize),
+        lives in prop::collection::vec(life(20, 40, KEEP_STEPS - MAX_LAG, &[KEEP_STEPS]), 1..=MAX_GATES as usize),
         limit in limits(),
     ) {
         prop_assert!(highest_sum(&lives, limit, usize::MAX / 2, false) <= limit);
@@ -116,6 +128,7 @@
         end: 360,
         pause: 360..360,
         lag,
+        forget: LEASE_STEPS,
     };
     // The second gate sees the first at once; the first sees the second a lease later.
     let lives = [life(0, MAX_LAG - 1), life(50, 0)];
