--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -214,7 +214,6 @@
         state: core.peers.table.borrow().own().state,
         digest: core.documents.digest(now),
         leaving: core.servers.leaving_lately(now),
-        in_flight: Vec::new(),
     }
 }
 
--- a/crates/peer/src/frames.rs
+++ b/crates/peer/src/frames.rs
@@ -96,26 +96,6 @@
     pub(crate) age_ms: Option<u64>,
     #[prost(message, repeated, tag = "5")]
     pub(crate) leaving: Vec<ServerBody>,
-    #[prost(message, repeated, tag = "6")]
-    pub(crate) in_flight: Vec<CountsBody>,
-}
-
-/// See [`ServiceCounts`](crate::ServiceCounts).
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct CountsBody {
-    #[prost(string, tag = "1")]
-    pub(crate) service: String,
-    #[prost(message, repeated, tag = "2")]
-    pub(crate) servers: Vec<CountBody>,
-}
-
-/// See [`ServerCount`](crate::ServerCount).
-#[derive(Clone, PartialEq, Message)]
-pub(crate) struct CountBody {
-    #[prost(message, optional, tag = "1")]
-    pub(crate) address: Option<AddressBody>,
-    #[prost(uint32, tag = "2")]
-    pub(crate) in_flight: u32,
 }
 
 /// See [`ChangeSet`](ggs_follow::ChangeSet); documents travel in the JSON form of their rows.
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -18,10 +18,7 @@
 
 pub use connection::{LinkEvent, LinkSide, LinkTiming};
 pub use error::{LinkFault, WireError};
-pub use message::{
-    PROTOCOL_VERSION, PeerHeartbeat, PeerHello, PeerMessage, PullRequest, ServerCount,
-    ServiceCounts,
-};
+pub use message::{PROTOCOL_VERSION, PeerHeartbeat, PeerHello, PeerMessage, PullRequest};
 pub use node::{LinkTraffic, PeerNode};
 pub use outbox::Outbox;
 pub use wire::{MAX_FRAME_BYTES, decode_message, encode_message};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -4,7 +4,7 @@
 
 use ggs_follow::{ChangeSet, FleetDigest};
 use ggs_member::{GateRecord, GateState};
-use ggs_model::{DocumentRevision, GateId, ServerEntry, ServerId, ServiceName};
+use ggs_model::{DocumentRevision, GateId, ServerEntry, ServerId};
 
 /// Version of the protocol; gates of different versions do not talk.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -18,24 +18,6 @@
     pub record: GateRecord,
 }
 
-/// In-flight requests of the sending gate at one server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ServerCount {
-    /// Address of the server.
-    pub address: SocketAddr,
-    /// Requests that the gate has in flight there.
-    pub in_flight: u32,
-}
-
-/// In-flight requests of the sending gate at the servers of one service.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ServiceCounts {
-    /// The service.
-    pub service: ServiceName,
-    /// Servers with requests in flight.
-    pub servers: Vec<ServerCount>,
-}
-
 /// Sent about once a second; renews the sender's lease.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PeerHeartbeat {
@@ -47,8 +29,6 @@
     pub digest: FleetDigest,
     /// Servers that the sender learned of late to be leaving.
     pub leaving: Vec<ServerId>,
-    /// Requests in flight.
-    pub in_flight: Vec<ServiceCounts>,
 }
 
 /// Asks for what the sender lacks.
--- a/crates/peer/src/wire.rs
+++ b/crates/peer/src/wire.rs
@@ -12,12 +12,10 @@
 use prost::Message;
 
 use crate::frames::{
-    AddressBody, ChangesBody, CountBody, CountsBody, EntriesBody, EntryBody, Frame, FrameBody,
-    GateBody, HeartbeatBody, HelloBody, PullBody, RosterBody, ServerBody, ServersBody,
-};
-use crate::{
-    PeerHeartbeat, PeerHello, PeerMessage, PullRequest, ServerCount, ServiceCounts, WireError,
+    AddressBody, ChangesBody, EntriesBody, EntryBody, Frame, FrameBody, GateBody, HeartbeatBody,
+    HelloBody, PullBody, RosterBody, ServerBody, ServersBody,
 };
+use crate::{PeerHeartbeat, PeerHello, PeerMessage, PullRequest, WireError};
 
 /// Longest frame: all documents at 61 services and 64 KiB each.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
@@ -212,7 +210,6 @@
             fleet: heartbeat.digest.fleet.0,
             age_ms: heartbeat.digest.age.map(|age| age.as_millis() as u64),
             leaving: collect(&heartbeat.leaving),
-            in_flight: collect(&heartbeat.in_flight),
         }
     }
 }
@@ -229,47 +226,6 @@
                 age: body.age_ms.map(Duration::from_millis),
             },
             leaving: try_collect(body.leaving)?,
-            in_flight: try_collect(body.in_flight)?,
-        })
-    }
-}
-
-impl From<&ServiceCounts> for CountsBody {
-    fn from(counts: &ServiceCounts) -> Self {
-        Self {
-            service: counts.service.to_string(),
-            servers: collect(&counts.servers),
-        }
-    }
-}
-
-impl TryFrom<CountsBody> for ServiceCounts {
-    type Error = WireError;
-
-    fn try_from(body: CountsBody) -> Result<Self, Self::Error> {
-        Ok(Self {
-            service: ServiceName::new(&body.service),
-            servers: try_collect(body.servers)?,
-        })
-    }
-}
-
-impl From<&ServerCount> for CountBody {
-    fn from(count: &ServerCount) -> Self {
-        Self {
-            address: Some((&count.address).into()),
-            in_flight: count.in_flight,
-        }
-    }
-}
-
-impl TryFrom<CountBody> for ServerCount {
-    type Error = WireError;
-
-    fn try_from(body: CountBody) -> Result<Self, Self::Error> {
-        Ok(Self {
-            address: required(body.address, "count.address")?.try_into()?,
-            in_flight: body.in_flight,
         })
     }
 }
--- a/crates/peer/tests/links.rs
+++ b/crates/peer/tests/links.rs
@@ -50,7 +50,6 @@
         state: GateState::Draining,
         digest: FleetDigest::default(),
         leaving: Vec::new(),
-        in_flight: Vec::new(),
     })
 }
 
--- a/crates/peer/tests/wire.rs
+++ b/crates/peer/tests/wire.rs
@@ -10,8 +10,8 @@
     ServerState, ServiceDocument, ServiceName, VersionedDocument,
 };
 use ggs_peer::{
-    PROTOCOL_VERSION, PeerHeartbeat, PeerHello, PeerMessage, PullRequest, ServerCount,
-    ServiceCounts, decode_message, encode_message,
+    PROTOCOL_VERSION, PeerHeartbeat, PeerHello, PeerMessage, PullRequest, decode_message,
+    encode_message,
 };
 use proptest::prelude::*;
 
@@ -48,13 +48,6 @@
         fleet: revision,
         age: Some(Duration::from_millis(40)),
     };
-    let counts = ServiceCounts {
-        service: service.clone(),
-        servers: vec![ServerCount {
-            address,
-            in_flight: 2,
-        }],
-    };
     let entry = ServerEntry {
         service,
         server,
@@ -66,7 +59,6 @@
         state: GateState::Live,
         digest,
         leaving: vec![server],
-        in_flight: vec![counts],
     };
     let unconfirmed = FleetDigest {
         age: None,
@@ -75,7 +67,6 @@
     let fresh = PeerHeartbeat {
         digest: unconfirmed,
         leaving: vec![],
-        in_flight: vec![],
         ..heartbeat.clone()
     };
     let set = ChangeSet {
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -7,8 +7,6 @@
 mod attempts;
 mod builder;
 mod chooser;
-mod connection_share;
-mod entry_plan;
 mod figure;
 mod health;
 mod least;
@@ -22,7 +20,5 @@
 pub use chooser::{
     AttemptEnd, AttemptOutcome, ChoiceRefusal, ChoiceRequest, ServerChooser, ServerSeed, ServerSlot,
 };
-pub use connection_share::ConnectionShare;
-pub use entry_plan::{EntryGate, EntryPlan};
 pub use least::LeastInFlight;
 pub use signal_chooser::SignalChooser;
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -206,7 +206,6 @@
             state: GateState::Live,
             digest: FleetDigest::default(),
             leaving: Vec::new(),
-            in_flight: Vec::new(),
         };
         node.send_all(&PeerMessage::Heartbeat(heartbeat));
         actix_rt::time::sleep(Duration::from_secs(1)).await;
