--- a/crates/gate/src/chooser.rs
+++ b/crates/gate/src/chooser.rs
@@ -33,6 +33,16 @@
     }
 }
 
+impl GateChooser {
+    /// Changes the servers that may be ejected at once, as a percentage.
+    pub(crate) fn set_eject_percent(&mut self, percent: u32) {
+        match self {
+            Self::Signals(chooser) => chooser.set_eject_percent(percent),
+            Self::LeastInFlight(_) => {}
+        }
+    }
+}
+
 impl ServerChooser for GateChooser {
     fn replace_servers(&mut self, seeds: &[ServerSeed], now: Moment) {
         match self {
--- a/crates/gate/src/core.rs
+++ b/crates/gate/src/core.rs
@@ -144,14 +144,17 @@
             if service.document.borrow().revision >= versioned.revision {
                 return false;
             }
+            let document = Arc::clone(&versioned.document);
             *service.metrics.borrow_mut() = self.service_metrics(&versioned);
             *service.document.borrow_mut() = versioned;
-            service
-                .retries
-                .borrow_mut()
-                .set_percent(service.document().document.retry_percent);
+            let mut retries = service.retries.borrow_mut();
+            retries.set_percent(document.retry_percent);
+            let mut chooser = service.chooser.borrow_mut();
+            chooser.set_eject_percent(document.eject_percent);
+            drop((retries, chooser));
             self.refresh_servers(&service);
             self.refresh_shares();
+            self.refresh_capacity();
             return true;
         }
         let retries = RetryAllowance::new(versioned.document.retry_percent);
--- a/crates/pick/src/signal.rs
+++ b/crates/pick/src/signal.rs
@@ -111,6 +111,12 @@
         }
     }
 
+    /// Takes what the list and the document say of the server, which may have changed.
+    pub(crate) fn take_seed(&mut self, seed: &ServerSeed) {
+        self.slots = f64::from(seed.slots.max(1));
+        self.near = seed.near;
+    }
+
     /// The same run after it was absent from the list.
     pub(crate) const fn returned(mut self, ramp_from: Option<Moment>) -> Self {
         self.ramp_from = ramp_from;
--- a/crates/pick/src/signal_chooser.rs
+++ b/crates/pick/src/signal_chooser.rs
@@ -108,6 +108,12 @@
         }
     }
 
+    /// Changes the servers that may be ejected at once, as a percentage of those that may be chosen.
+    /// A lower cap holds for servers ejected before from the next list of servers on.
+    pub const fn set_eject_percent(&mut self, percent: u32) {
+        self.options.eject_percent = percent;
+    }
+
     /// Whether so many servers are in trouble at once that this gate is the likely cause; it then
     /// ejects none.
     pub fn is_suspect(&self, now: Moment) -> bool {
@@ -349,6 +355,11 @@
             Some(signals) => signals.returned(ramp_from),
             None => ServerSignals::new(seed, ramp_from),
         });
+        for seed in seeds {
+            if let Some(index) = self.servers.index_of(seed.server) {
+                self.servers.entries_mut()[index].value.take_seed(seed);
+            }
+        }
         self.take_back_excess(now);
     }
 
--- a/crates/pick/tests/chooser.rs
+++ b/crates/pick/tests/chooser.rs
@@ -245,8 +245,8 @@
     }
 }
 
-#[test]
-fn the_cap_on_ejections_holds_when_the_list_shrinks() {
+/// A chooser of ten servers, three of which have failed until they were ejected.
+fn with_failed_servers() -> (SignalChooser, Moment) {
     let mut chooser = SignalChooser::builder().eject_percent(30).build();
     let mut now = Moment::from_millis(1);
     chooser.replace_servers(&seeds(0..10), now);
@@ -265,6 +265,20 @@
         chooser.finish(&end(slot, outcome, 1), now);
     }
     assert!(chooser.ejected(now) > 1, "{} ejected", chooser.ejected(now));
+    (chooser, now)
+}
+
+#[test]
+fn a_lower_cap_of_a_new_document_holds_from_the_next_list_on() {
+    let (mut chooser, now) = with_failed_servers();
+    chooser.set_eject_percent(10);
+    chooser.replace_servers(&seeds(0..10), now);
+    assert_eq!(chooser.ejected(now), 1);
+}
+
+#[test]
+fn the_cap_on_ejections_holds_when_the_list_shrinks() {
+    let (mut chooser, now) = with_failed_servers();
     chooser.replace_servers(&seeds(0..4), now);
     assert!(
         chooser.ejected(now) <= 1,
@@ -324,3 +338,21 @@
     assert_eq!(run(5), run(5));
     assert_ne!(run(5), run(6));
 }
+
+#[test]
+fn slots_of_a_new_document_count_for_servers_that_stay() {
+    let mut chooser = SignalChooser::builder().build();
+    let now = Moment::from_millis(1);
+    let mut list = seeds(0..2);
+    chooser.replace_servers(&list, now);
+    list[1].slots = 10 * list[0].slots;
+    chooser.replace_servers(&list, now);
+    let calls = (0..30).map(|_| chooser.choose(&request(RequestClass::Urgent), now));
+    let slots: Vec<_> = calls.map(Result::unwrap).collect();
+    let larger = chooser.slot_of(list[1].server);
+    let count = slots.iter().filter(|slot| Some(**slot) == larger).count();
+    assert!(
+        count >= 20,
+        "{count} of 30 calls at the server with ten times the slots"
+    );
+}
