Find gates in the host list

Change: entries under the service ggs-gates that are live are dialled like those that a gate names. Measured: gates_without_seeds_find_one_another_in_the_host_list fails without the change (no peer within 10 s) and passes with it.

--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -27,7 +27,7 @@
 /// Time between two looks at leases.
 const TICK: Duration = Duration::from_millis(250);
 
-/// Time for which an address that another gate named is tried.
+/// Time for which an address that another gate or the host list named is tried.
 const HINT_TIME: Duration = Duration::from_mins(1);
 
 /// Addresses named by other gates that are tried at once.
@@ -44,7 +44,7 @@
 pub(crate) struct GatePeers {
     node: PeerNode,
     table: RefCell<PeerTable>,
-    /// Addresses that other gates named, with the time at which they did.
+    /// Addresses that other gates or the host list named, with the time at which they did.
     hints: RefCell<BTreeMap<SocketAddr, Moment>>,
     /// Heartbeats sent.
     sequence: Cell<u64>,
@@ -165,6 +165,14 @@
         }
     }
 
+    /// Notes addresses that the host list names.
+    pub(crate) fn take_listed(&self, addresses: impl Iterator<Item = SocketAddr>, now: Moment) {
+        let mut hints = self.hints.borrow_mut();
+        for address in addresses.take(MAX_HINTS) {
+            hints.insert(address, now);
+        }
+    }
+
     /// Notes addresses that another gate named.
     fn take_hints(&self, addresses: Vec<SocketAddr>, now: Moment) {
         let mut hints = self.hints.borrow_mut();
--- a/crates/gate/src/servers.rs
+++ b/crates/gate/src/servers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use ggs_member::{ServerRoster, ServerView};
-use ggs_model::{Clock, Moment, ServerEntry, ServerId, ServiceName};
+use ggs_model::{Clock, Moment, ServerEntry, ServerId, ServerState, ServiceName};
 use ggs_observe::LogEvent;
 use ggs_peer::PeerMessage;
 use ggs_store::HostList;
@@ -20,6 +20,9 @@
 /// its bandwidth at any size. Leaving servers do not wait for it: every gate's read reaches all.
 const READ_PERIOD_PER_SERVER: Duration = Duration::from_millis(20);
 
+/// Service under which a host list names the peer addresses of gates.
+const GATE_SERVICE: &str = "ggs-gates";
+
 /// The servers of all services.
 #[derive(Debug, Default)]
 pub(crate) struct GateServers {
@@ -79,6 +82,9 @@
         Ok(list) => {
             core.servers.failing.set(false);
             take_list(core, &list);
+            let gates = list.iter().filter(|entry| is_live_gate(entry));
+            let addresses = gates.map(|entry| entry.server.address);
+            core.peers.take_listed(addresses, core.clock.now());
             list.len()
         }
         Err(error) => {
@@ -93,6 +99,11 @@
     }
 }
 
+/// Whether an entry of the host list names the peer address of a gate that is not leaving.
+fn is_live_gate(entry: &ServerEntry) -> bool {
+    entry.service.as_str() == GATE_SERVICE && entry.state == ServerState::Live
+}
+
 /// Takes a host list from the platform, or from a peer while the platform is down.
 pub(crate) fn take_list(core: &GateCore, list: &[ServerEntry]) {
     let now = core.clock.now();
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -7,14 +7,17 @@
 use awc::http::Method;
 use ggs_follow::FleetDigest;
 use ggs_member::{GateRecord, GateState};
-use ggs_model::{DataCentre, GateId, HostName, Incarnation, ServiceDocument};
+use ggs_model::{
+    DataCentre, GateId, HostName, Incarnation, ServerEntry, ServerId, ServerState, ServiceDocument,
+};
 use ggs_peer::{
     LinkEvent, LinkTiming, PROTOCOL_VERSION, PeerHeartbeat, PeerHello, PeerMessage, PeerNode,
 };
 use rustix::process::Signal;
 use support::operators::{handed_out, peer_bytes, status, wait_handed_out};
 use support::{
-    GateProcess, READY_LIMIT, StandinProcess, accept_document, call, free_address, wait_until,
+    GateProcess, READY_LIMIT, StandinProcess, accept_document, call, free_address, wait_for_peers,
+    wait_until,
 };
 use tokio::net::TcpListener;
 
@@ -223,3 +226,30 @@
     // A lease is 4 s: one heartbeat, sent on connecting, is too few to stay known.
     assert!(heard >= 4, "{heard} heartbeats in {:?}", start.elapsed());
 }
+
+#[actix_rt::test]
+async fn gates_without_seeds_find_one_another_in_the_host_list() {
+    let platform = StandinProcess::platform(&[]);
+    accept_document(&platform.url(), ServiceDocument::new("roster", "wagowa")).await;
+    let names = ["listed-0", "listed-1", "listed-2"];
+    let settings = names.map(|name| GateProcess::settings(name, &platform.url()));
+    let url = format!("http://{}/admin/hosts", platform.addresses[0].1);
+    for own in &settings {
+        let entry = ServerEntry {
+            service: "ggs-gates".into(),
+            server: ServerId {
+                address: own.listen_peers,
+                incarnation: Incarnation(0),
+            },
+            data_centre: own.data_centre.clone(),
+            state: ServerState::Live,
+        };
+        let body = serde_json::to_string(&entry).unwrap();
+        let answer = call(Method::PUT, &url, &[], &body).await.unwrap();
+        assert_eq!(answer.status, 200);
+    }
+    let gates = settings.map(GateProcess::spawn);
+    for gate in &gates {
+        wait_for_peers(gate, 2).await;
+    }
+}
