--- a/crates/model/src/operator.rs
+++ b/crates/model/src/operator.rs
@@ -136,28 +136,28 @@
     }
 }
 
-/// What measuring one service's servers cost in one window.
+/// What measuring one service's servers cost on one day.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BillRow {
     /// The partner that pays.
     pub partner: PartnerName,
     /// The service.
     pub service: ServiceName,
-    /// Start of the window, in milliseconds since the Unix epoch.
+    /// Start of the day, in milliseconds since the Unix epoch.
     pub window_start_ms: u64,
-    /// Length of the window in milliseconds.
+    /// Length of a day in milliseconds.
     pub window_ms: u64,
-    /// Probes that the document allows in the window.
+    /// Probes that the document allowed in the windows of the day up to the last debit.
     pub allowed: u64,
     /// Probes granted to gates; never less than those that servers saw.
     pub granted: u64,
-    /// Probes that gates reported as sent.
+    /// Probes that gates sent: exact once all have settled, else an upper bound.
     pub spent: u64,
 }
 
-/// What measuring cost, by partner, service and window.
+/// What measuring cost, by partner, service and day.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BillAnswer {
-    /// Rows in order of partner, service and window.
+    /// Rows in order of partner, service and day.
     pub rows: Vec<BillRow>,
 }
