Put a comment beside the line that it explains

Cause: found on the last read; the reason for a fresh connection stood above the retry count. Conclusion: no behaviour changes; formatter, linter and the relay's tests are green.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -238,10 +238,10 @@
         } else {
             remaining * ATTEMPT_SHARE_PERCENT / 100
         };
-        // A request that may not be repeated never risks a connection that the path has lost, and a
-        // retry does not either.
         let earlier = u32::from(request.place == CallPlace::Retried);
         let retry = earlier + state.attempts - 1;
+        // A request that may not be repeated never risks a connection that the path has lost, and a
+        // retry does not either.
         let fresh = !request.idempotent || state.attempts > 1;
         AttemptPlan {
             fresh,
