--- /dev/null
+++ b/crates/edge/src/ask.rs
@@ -0,0 +1,141 @@
+//! Questions to servers for their load, asked just before a send.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::{HOST, HeaderValue};
+use actix_http::{Method, RequestHead, Uri};
+use bytes::Bytes;
+use ggs_model::Clock;
+use ggs_place::{BoardServer, LoadSample, ServerKey};
+use ggs_relay::ServerConnection;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::core::EdgeCore;
+use crate::ports::EdgeWire;
+use crate::service::ServiceState;
+
+/// Time that a request waits for answers to its questions.
+const PATIENCE: Duration = Duration::from_millis(20);
+
+/// Time after which a question counts as unanswered.
+const ANSWER_TIME: Duration = Duration::from_millis(60);
+
+/// What an answer to a question says.
+enum AskResult {
+    /// The load of the server that was meant.
+    Load(LoadSample),
+    /// The server that was meant answered, but told no load.
+    NoLoad,
+    /// Another server has the address, or none answered.
+    Silent,
+}
+
+/// One round of questions.
+struct AskRound {
+    open: Cell<usize>,
+    done: Notify,
+}
+
+/// Asks servers and waits for their answers, but not longer than a request can wait.
+///
+/// Questions that are still open go on and tell the board when they are answered.
+pub(crate) async fn ask<W, S>(
+    core: &Rc<EdgeCore<W, S>>,
+    service: &Rc<ServiceState>,
+    keys: &[ServerKey],
+    path: &Uri,
+) where
+    W: EdgeWire,
+    S: 'static,
+{
+    let round = Rc::new(AskRound {
+        open: Cell::new(keys.len()),
+        done: Notify::new(),
+    });
+    for key in keys {
+        let Some(server) = service.board.borrow().server(*key).cloned() else {
+            round.open.set(round.open.get() - 1);
+            continue;
+        };
+        let (core, service) = (Rc::clone(core), Rc::clone(service));
+        let (round, key, path) = (Rc::clone(&round), *key, path.clone());
+        actix_rt::spawn(async move {
+            let asked = timeout(ANSWER_TIME, ask_one(&core, &server, path)).await;
+            take_result(&core, &service, key, asked.unwrap_or(AskResult::Silent));
+            round.open.set(round.open.get() - 1);
+            if round.open.get() == 0 {
+                round.done.notify_one();
+            }
+        });
+    }
+    if round.open.get() > 0 {
+        // Without all answers, those that have come decide.
+        let _all = timeout(PATIENCE, round.done.notified()).await;
+    }
+}
+
+/// Tells the board what a question brought.
+fn take_result<W, S>(
+    core: &EdgeCore<W, S>,
+    service: &ServiceState,
+    key: ServerKey,
+    result: AskResult,
+) {
+    let now = core.clock.now();
+    let mut board = service.board.borrow_mut();
+    match result {
+        AskResult::Load(sample) => {
+            service.note_told(true);
+            board.note_load(key, sample, now);
+        }
+        AskResult::NoLoad => service.note_told(false),
+        AskResult::Silent => board.note_silent(key, now),
+    }
+}
+
+/// Asks one server.
+async fn ask_one<W, S>(core: &EdgeCore<W, S>, server: &BoardServer, path: Uri) -> AskResult
+where
+    W: EdgeWire,
+{
+    let now = core.clock.now();
+    let Some((place, idle)) = core.pool.reserve(server.address, false, now) else {
+        return AskResult::NoLoad;
+    };
+    let connection = match idle {
+        Some(connection) => Ok(connection),
+        None => ServerConnection::open(server.address, core.pool.options(), &core.codec).await,
+    };
+    let Ok(mut connection) = connection else {
+        return AskResult::Silent;
+    };
+    let mut head = RequestHead::default();
+    head.method = Method::GET;
+    head.uri = path;
+    if let Ok(host) = HeaderValue::from_str(&server.address.to_string()) {
+        head.headers.insert(HOST, host);
+    }
+    if connection.send(head, &Bytes::new()).await.is_err() {
+        return AskResult::Silent;
+    }
+    let Ok(head) = connection.read_head().await else {
+        return AskResult::Silent;
+    };
+    let names = core.wire.headers();
+    let instance = head.headers.get(&names.instance);
+    let other = instance.is_some_and(|value| value.as_bytes() != server.instance.as_bytes());
+    if other {
+        return AskResult::Silent;
+    }
+    let load = core.wire.read_load(&head.headers);
+    if let Ok(connection) = connection.skip_body().await
+        && connection.is_reusable()
+        && !connection.has_surplus()
+    {
+        place.keep(connection, core.clock.now());
+    }
+    load.map_or(AskResult::NoLoad, AskResult::Load)
+}
--- /dev/null
+++ b/crates/edge/src/attempt.rs
@@ -0,0 +1,299 @@
+//! One send of a request to one server.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use actix_http::body::BodySize;
+use actix_http::header::CONTENT_ENCODING;
+use actix_http::{Method, ResponseHead, StatusCode};
+use bytes::Bytes;
+use ggs_model::{Clock, RunVerdict};
+use ggs_place::{BoardServer, SendOutcome, ServerKey};
+use ggs_relay::{
+    AnswerFraming, FailureKind, RelayBody, ServerConnection, announced_size, read_whole,
+};
+
+use crate::core::EdgeCore;
+use crate::ports::{EdgeWire, WireHeaders};
+use crate::request::EdgeRequest;
+use crate::service::ServiceState;
+
+/// Longest body that is read whole before its head goes to the caller, in bytes. A body cut short
+/// within this length is a failed send, which may be repeated; a longer one is streamed.
+const WHOLE_BODY_LIMIT: u64 = 1 << 20;
+
+/// Longest body without a length; it is read whole, as only its end tells that it was not cut.
+const UNFRAMED_LIMIT: usize = 8 << 20;
+
+/// Answers to other requests that are passed over on one connection.
+const MAX_STALE_ANSWERS: u32 = 3;
+
+/// An answer of a server.
+#[derive(Debug)]
+pub(crate) struct EdgeAnswer {
+    /// Status and headers.
+    pub(crate) head: ResponseHead,
+    /// The body.
+    pub(crate) body: AnswerBytes,
+}
+
+/// The body of an answer.
+#[derive(Debug)]
+pub(crate) enum AnswerBytes {
+    /// All of it.
+    Whole(Bytes),
+    /// Still to come.
+    Streamed(RelayBody),
+}
+
+/// Why a send brought no answer for the caller.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct SendFailure {
+    /// What went wrong.
+    pub(crate) kind: FailureKind,
+    /// Whether the request may have run.
+    pub(crate) verdict: RunVerdict,
+    /// Whether the request arrived at a server, as far as is known.
+    pub(crate) arrived: bool,
+}
+
+impl SendFailure {
+    /// A failure before anything was sent.
+    const fn unsent(kind: FailureKind) -> Self {
+        Self {
+            kind,
+            verdict: RunVerdict::NotRun,
+            arrived: false,
+        }
+    }
+
+    /// A failure after which the request may have run.
+    const fn sent(kind: FailureKind) -> Self {
+        Self {
+            kind,
+            verdict: RunVerdict::Unknown,
+            arrived: true,
+        }
+    }
+
+    /// A refusal by the server.
+    const fn refused() -> Self {
+        Self {
+            kind: FailureKind::Refused,
+            verdict: RunVerdict::NotRun,
+            arrived: true,
+        }
+    }
+
+    /// How the send counts for its server.
+    const fn outcome(self) -> SendOutcome {
+        match self.kind {
+            FailureKind::ConnectFailed => SendOutcome::Unreachable,
+            FailureKind::NoConnection => SendOutcome::Abandoned,
+            FailureKind::Refused => SendOutcome::Refused,
+            _ => SendOutcome::Failed,
+        }
+    }
+}
+
+/// Counts a send at its server until it ends, also when the caller leaves.
+#[derive(Debug)]
+pub(crate) struct SendHold {
+    service: Rc<ServiceState>,
+    server: ServerKey,
+    outcome: Cell<SendOutcome>,
+}
+
+impl SendHold {
+    /// Counts a send that starts.
+    fn start(service: &Rc<ServiceState>, server: ServerKey) -> Self {
+        service.board.borrow_mut().start(server);
+        Self {
+            service: Rc::clone(service),
+            server,
+            outcome: Cell::new(SendOutcome::Abandoned),
+        }
+    }
+
+    /// Sets how the send ends.
+    pub(crate) fn set_outcome(&self, outcome: SendOutcome) {
+        self.outcome.set(outcome);
+    }
+}
+
+impl Drop for SendHold {
+    fn drop(&mut self) {
+        let now = ggs_model::BootClock.now();
+        let mut board = self.service.board.borrow_mut();
+        board.end(self.server, self.outcome.get(), now);
+    }
+}
+
+/// Whether a send has left, which only its own task knows when its time runs out.
+#[derive(Debug, Default)]
+pub(crate) struct SendStage {
+    left: Cell<bool>,
+}
+
+impl SendStage {
+    /// Whether bytes of the request may have left.
+    pub(crate) fn has_left(&self) -> bool {
+        self.left.get()
+    }
+}
+
+/// Sends a request to one server and reads its answer.
+pub(crate) async fn send<W, S>(
+    core: &EdgeCore<W, S>,
+    service: &Rc<ServiceState>,
+    key: ServerKey,
+    request: &EdgeRequest,
+    stage: &SendStage,
+) -> Result<(EdgeAnswer, SendHold), SendFailure>
+where
+    W: EdgeWire,
+{
+    let server = service.board.borrow().server(key).cloned();
+    let server = server.ok_or(SendFailure::unsent(FailureKind::NoServer))?;
+    let hold = SendHold::start(service, key);
+    let answer = exchange(core, &server, request, stage).await;
+    match answer {
+        Ok(answer) => {
+            let failed = answer.head.status.is_server_error();
+            hold.set_outcome(if failed {
+                SendOutcome::Failed
+            } else {
+                SendOutcome::Answered
+            });
+            Ok((answer, hold))
+        }
+        Err(failure) => {
+            hold.set_outcome(failure.outcome());
+            if failure.kind == FailureKind::ConnectionLost {
+                // Whatever broke one connection has often broken its neighbours.
+                core.pool.discard_idle(server.address);
+            }
+            Err(failure)
+        }
+    }
+}
+
+/// Sends and reads without a limit on time.
+async fn exchange<W, S>(
+    core: &EdgeCore<W, S>,
+    server: &BoardServer,
+    request: &EdgeRequest,
+    stage: &SendStage,
+) -> Result<EdgeAnswer, SendFailure>
+where
+    W: EdgeWire,
+{
+    let names = core.wire.headers();
+    let reserved = core.pool.reserve(server.address, false, core.clock.now());
+    let (place, idle) = reserved.ok_or(SendFailure::unsent(FailureKind::NoConnection))?;
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => ServerConnection::open(server.address, core.pool.options(), &core.codec)
+            .await
+            .map_err(|_| SendFailure::unsent(FailureKind::ConnectFailed))?,
+    };
+    let now = core.clock.now();
+    if request.answer_by <= now {
+        return Err(SendFailure::unsent(FailureKind::DeadlinePassed));
+    }
+    stage.left.set(true);
+    let head = request.head_for(server, names, now);
+    connection
+        .send(head, &request.body)
+        .await
+        .map_err(|_| SendFailure::sent(FailureKind::ConnectionLost))?;
+    let (connection, head) = read_own_head(connection, request, names).await?;
+    let framing = AnswerFraming::of(&head, &request.method);
+    let refused = head.headers.contains_key(&names.not_run);
+    if let Some(failure) = check_answer(&head, framing, names) {
+        if refused && framing == AnswerFraming::Bounded {
+            // A server that refuses keeps its connection, which spares a new one.
+            if let Ok(connection) = connection.skip_body().await
+                && connection.is_reusable()
+                && !connection.has_surplus()
+            {
+                place.keep(connection, core.clock.now());
+            }
+        }
+        return Err(failure);
+    }
+    if framing == AnswerFraming::UntilClose {
+        let whole = connection.read_to_end(UNFRAMED_LIMIT).await;
+        let body = AnswerBytes::Whole(whole.map_err(SendFailure::sent)?);
+        return Ok(EdgeAnswer { head, body });
+    }
+    if request.method == Method::HEAD || !connection.has_body() {
+        if connection.is_reusable() && !connection.has_surplus() {
+            place.keep(connection, core.clock.now());
+        }
+        let body = AnswerBytes::Whole(Bytes::new());
+        return Ok(EdgeAnswer { head, body });
+    }
+    let size = announced_size(&head, true);
+    let reusable = connection.is_reusable();
+    let limit = request.deadline.since(core.clock.now());
+    let mut body = RelayBody::new(connection, place, reusable, size, limit, None);
+    if !matches!(size, BodySize::Sized(length) if length <= WHOLE_BODY_LIMIT) {
+        let body = AnswerBytes::Streamed(body);
+        return Ok(EdgeAnswer { head, body });
+    }
+    let whole = read_whole(&mut body).await;
+    let whole = whole.map_err(|error| SendFailure::sent(error.kind))?;
+    let body = AnswerBytes::Whole(whole);
+    Ok(EdgeAnswer { head, body })
+}
+
+/// Reads the head of the answer to this request, past late answers to earlier ones.
+async fn read_own_head(
+    mut connection: ServerConnection,
+    request: &EdgeRequest,
+    names: &WireHeaders,
+) -> Result<(ServerConnection, ResponseHead), SendFailure> {
+    for _ in 0..=MAX_STALE_ANSWERS {
+        let head = connection.read_head().await;
+        let head = head.map_err(SendFailure::sent)?;
+        let echoed = head.headers.get(&names.request_id);
+        if echoed.is_some() && echoed == request.id(names) {
+            return Ok((connection, head));
+        }
+        // A refusal of a request that the server did not read may lack the id.
+        let unread = echoed.is_none() && head.headers.contains_key(&names.not_run);
+        if unread {
+            return Ok((connection, head));
+        }
+        if echoed.is_none() || AnswerFraming::of(&head, &request.method) != AnswerFraming::Bounded {
+            return Err(SendFailure::sent(FailureKind::BadAnswer));
+        }
+        let skipped = connection.skip_body().await;
+        connection = skipped.map_err(SendFailure::sent)?;
+    }
+    Err(SendFailure::sent(FailureKind::BadAnswer))
+}
+
+/// Why an answer cannot go to the caller, if it cannot.
+fn check_answer(
+    head: &ResponseHead,
+    framing: AnswerFraming,
+    names: &WireHeaders,
+) -> Option<SendFailure> {
+    if head.headers.contains_key(&names.not_run) {
+        return Some(SendFailure::refused());
+    }
+    if head.status == StatusCode::MISDIRECTED_REQUEST {
+        return Some(SendFailure::refused());
+    }
+    let bad = Some(SendFailure::sent(FailureKind::BadAnswer));
+    if framing == AnswerFraming::Contradictory || head.status.is_informational() {
+        return bad;
+    }
+    let unsealed = head.status.is_success() && !head.headers.contains_key(&names.seal);
+    if unsealed || head.headers.contains_key(CONTENT_ENCODING) {
+        return bad;
+    }
+    None
+}
--- /dev/null
+++ b/crates/edge/src/body.rs
@@ -0,0 +1,66 @@
+//! Bodies of answers to callers.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use actix_http::body::{BodySize, MessageBody};
+use bytes::Bytes;
+use ggs_place::SendOutcome;
+use ggs_relay::{BodyError, RelayBody};
+
+use crate::attempt::SendHold;
+
+/// The body of an answer to a caller.
+#[derive(Debug)]
+pub(crate) enum EdgeBody {
+    /// All of it; `None` once taken.
+    Whole(Option<Bytes>, u64),
+    /// Passed on as it comes from the server.
+    Streamed(Box<StreamedBody>),
+}
+
+/// A body that comes from a server.
+#[derive(Debug)]
+pub(crate) struct StreamedBody {
+    /// The server's body.
+    pub(crate) body: RelayBody,
+    /// The send that it answers.
+    pub(crate) hold: SendHold,
+}
+
+impl EdgeBody {
+    /// A body of known bytes.
+    pub(crate) fn whole(bytes: Bytes) -> Self {
+        let length = bytes.len() as u64;
+        Self::Whole(Some(bytes), length)
+    }
+}
+
+impl MessageBody for EdgeBody {
+    type Error = BodyError;
+
+    fn size(&self) -> BodySize {
+        match self {
+            Self::Whole(_, length) => BodySize::Sized(*length),
+            Self::Streamed(streamed) => streamed.body.size(),
+        }
+    }
+
+    fn poll_next(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Bytes, BodyError>>> {
+        match &mut *self {
+            Self::Whole(bytes, _) => {
+                Poll::Ready(bytes.take().filter(|bytes| !bytes.is_empty()).map(Ok))
+            }
+            Self::Streamed(streamed) => {
+                let polled = Pin::new(&mut streamed.body).poll_next(context);
+                if matches!(polled, Poll::Ready(Some(Err(_)))) {
+                    streamed.hold.set_outcome(SendOutcome::Failed);
+                }
+                polled
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/core.rs
@@ -0,0 +1,224 @@
+//! State that the tasks of one gate share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+
+use actix_http::ServiceConfig;
+use foldhash::{HashMap, HashMapExt};
+use ggs_limit::RetryBudget;
+use ggs_member::{GateRecord, GateState, PeerTable, PeerTiming};
+use ggs_model::{BootClock, Clock, GateId, Incarnation, Moment, ServiceName};
+use ggs_observe::EventLog;
+use ggs_place::{AskBudget, BoardServer};
+use ggs_relay::{ConnectionOptions, ConnectionPool};
+use ggs_route::RouteTable;
+
+use crate::catalog::ServerCatalog;
+use crate::gates::{GATE_LEASE, GateContacts};
+use crate::service::ServiceState;
+use crate::settings::EdgeSettings;
+
+/// Time without a tick after which a gate takes itself for one that was suspended.
+const WAKE_PAUSE: std::time::Duration = std::time::Duration::from_secs(1);
+
+/// Part of the allowed questions that is asked, so that gates which differ in what they know of the
+/// fleet stay within it together.
+const ASK_MARGIN: f64 = 0.7;
+
+/// Part of a server's connections that the gates take together.
+const CONNECTION_MARGIN: f64 = 0.8;
+
+/// Fewest connections that a gate may hold to a server.
+const MIN_CONNECTIONS: usize = 4;
+
+/// Time for which a connection to a server is kept idle; servers close theirs after ten seconds or
+/// more.
+const IDLE_LIMIT: std::time::Duration = std::time::Duration::from_secs(8);
+
+/// Longest time for a new connection to a server.
+const CONNECT_TIME: std::time::Duration = std::time::Duration::from_millis(120);
+
+/// State of one gate.
+#[derive(Debug)]
+pub(crate) struct EdgeCore<W, S> {
+    /// Settings in force.
+    pub(crate) settings: RefCell<Rc<EdgeSettings>>,
+    /// Names and formats of the platform.
+    pub(crate) wire: W,
+    /// The platform's store.
+    pub(crate) store: S,
+    /// Where events go.
+    pub(crate) log: EventLog,
+    /// The host's clock.
+    pub(crate) clock: BootClock,
+    /// Connections to servers.
+    pub(crate) pool: ConnectionPool,
+    /// How the bytes of answers are read.
+    pub(crate) codec: ServiceConfig,
+    /// Routes in force; `None` until a configuration was read.
+    pub(crate) routes: RefCell<Option<Rc<RouteTable>>>,
+    /// Servers.
+    pub(crate) catalog: RefCell<ServerCatalog>,
+    /// Live gates.
+    pub(crate) gates: RefCell<PeerTable>,
+    /// Addresses at which other gates are reached.
+    pub(crate) contacts: RefCell<GateContacts>,
+    /// Questions that may be asked.
+    pub(crate) asks: RefCell<AskBudget>,
+    services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
+    servers_known: Cell<bool>,
+    draining: Cell<bool>,
+}
+
+impl<W, S> EdgeCore<W, S> {
+    /// A core that knows neither routes nor servers.
+    pub(crate) fn new(settings: EdgeSettings, wire: W, store: S, log: EventLog) -> Rc<Self> {
+        let clock = BootClock;
+        let now = clock.now();
+        let timing = PeerTiming {
+            lease: GATE_LEASE,
+            wake_pause: WAKE_PAUSE,
+            withdraw_percent: 100,
+            withdraw_cap_percent: 100,
+            ..PeerTiming::default()
+        };
+        let options = ConnectionOptions {
+            connect_timeout: CONNECT_TIME,
+            idle_limit: IDLE_LIMIT,
+            ..ConnectionOptions::default()
+        };
+        Rc::new(Self {
+            gates: RefCell::new(PeerTable::new(own_record(&settings), timing, now)),
+            contacts: RefCell::new(GateContacts::default()),
+            catalog: RefCell::new(ServerCatalog::new(settings.server_heartbeat)),
+            settings: RefCell::new(Rc::new(settings)),
+            wire,
+            store,
+            log,
+            clock,
+            pool: ConnectionPool::new(options),
+            codec: ServiceConfig::default(),
+            routes: RefCell::new(None),
+            asks: RefCell::new(AskBudget::new(now)),
+            services: RefCell::new(HashMap::new()),
+            servers_known: Cell::new(false),
+            draining: Cell::new(false),
+        })
+    }
+
+    /// The settings in force.
+    pub(crate) fn settings(&self) -> Rc<EdgeSettings> {
+        Rc::clone(&self.settings.borrow())
+    }
+
+    /// The routes in force.
+    pub(crate) fn routes(&self) -> Option<Rc<RouteTable>> {
+        self.routes.borrow().as_ref().map(Rc::clone)
+    }
+
+    /// The service called `name`.
+    pub(crate) fn service(&self, name: &ServiceName) -> Rc<ServiceState> {
+        if let Some(service) = self.services.borrow().get(name) {
+            return Rc::clone(service);
+        }
+        let bounds = &self.settings().bounds;
+        let gates = self.fleet_size();
+        let retries = RetryBudget::new(bounds.retry_ratio, bounds.retry_slack, gates);
+        let service = ServiceState::new(name.clone(), retries);
+        let mut services = self.services.borrow_mut();
+        services.insert(name.clone(), Rc::clone(&service));
+        service
+    }
+
+    /// Gates of the fleet, this one included.
+    pub(crate) fn fleet_size(&self) -> usize {
+        self.contacts.borrow().fleet_size().max(1)
+    }
+
+    /// Whether routes and servers are known and the gate does not drain.
+    pub(crate) fn is_ready(&self) -> bool {
+        let knows = self.servers_known.get() && self.routes.borrow().is_some();
+        knows && !self.draining.get()
+    }
+
+    /// Whether the gate finishes its work and ends.
+    pub(crate) fn is_draining(&self) -> bool {
+        self.draining.get()
+    }
+
+    /// Starts to drain.
+    pub(crate) fn set_draining(&self) {
+        self.draining.set(true);
+        self.gates.borrow_mut().drain();
+    }
+
+    /// Gives every service the servers that may get requests, and takes the size of the fleet into
+    /// the shares of questions, second sends and connections.
+    pub(crate) fn refresh_services(&self, now: Moment) {
+        let settings = self.settings();
+        let mut lists: HashMap<ServiceName, Vec<BoardServer>> = HashMap::new();
+        let catalog = self.catalog.borrow();
+        for (record, cold_until) in catalog.usable() {
+            let list = lists.entry(record.service.clone()).or_default();
+            list.push(BoardServer {
+                instance: record.instance.clone(),
+                address: record.address,
+                near: record.data_centre == settings.data_centre,
+                slots: record.slots,
+                cold_until: Some(cold_until).filter(|until| *until > now),
+            });
+        }
+        let total: usize = lists.values().map(Vec::len).sum();
+        for name in lists.keys() {
+            self.service(name);
+        }
+        for (name, service) in self.services.borrow().iter() {
+            let servers = lists.remove(name).unwrap_or_default();
+            service.board.borrow_mut().replace(servers, now);
+        }
+        self.refresh_shares(total);
+    }
+
+    /// Notes that the list of servers was read.
+    pub(crate) fn set_servers_known(&self) {
+        self.servers_known.set(true);
+    }
+
+    /// Takes the size of the fleet into all shares.
+    fn refresh_shares(&self, servers: usize) {
+        let gates = self.fleet_size();
+        let bounds = &self.settings().bounds;
+        let rate = bounds.asks_per_second * servers as f64 / gates as f64 * ASK_MARGIN;
+        self.asks.borrow_mut().set_rate(rate);
+        let routes = self.routes();
+        let mut shares = Vec::new();
+        for (name, service) in self.services.borrow().iter() {
+            let mut retries = service.retries.borrow_mut();
+            retries.set_gates(bounds.retry_slack, gates);
+            let rule = routes
+                .as_ref()
+                .and_then(|routes| routes.service(name.as_str()));
+            let Some(rule) = rule else { continue };
+            let share = f64::from(rule.connections) * CONNECTION_MARGIN / gates as f64;
+            let share = (share as usize).max(MIN_CONNECTIONS);
+            let board = service.board.borrow();
+            shares.extend(board.servers().map(|server| (server.address, share)));
+        }
+        self.pool.replace_shares(shares);
+    }
+}
+
+/// What this run of the gate says of itself; it is handed out once it is ready.
+fn own_record(settings: &EdgeSettings) -> GateRecord {
+    let gate = GateId {
+        host: settings.host.clone(),
+        incarnation: Incarnation(rand::random()),
+    };
+    GateRecord {
+        gate,
+        data_centre: settings.data_centre.clone(),
+        callers: settings.listen_callers,
+        peers: settings.listen_gates,
+        state: GateState::Live,
+    }
+}
--- /dev/null
+++ b/crates/edge/src/gates.rs
@@ -0,0 +1,237 @@
+//! Datagrams by which the gates of a data centre tell one another that they live.
+//!
+//! Datagrams within a data centre cost next to nothing, where each call to the store is paid for. So
+//! the store only tells a gate that starts which others there are; the rest is heard from them.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use foldhash::HashMap;
+use ggs_member::{GateRecord, GateState, PeerNews};
+use ggs_model::{Clock, DataCentre, Moment};
+use ggs_observe::LogEvent;
+use ggs_peer::{PROTOCOL_VERSION, PeerHello, PeerMessage, decode_message, encode_message};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::core::EdgeCore;
+use crate::ports::{EdgeWire, FleetStore};
+use crate::store_health::StoreHealth;
+
+/// Time between two datagrams to each gate of the data centre.
+const HELLO_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time without a datagram after which a gate is no longer handed out; three may be lost.
+pub(crate) const GATE_LEASE: Duration = Duration::from_millis(1_800);
+
+/// Time between two reads of the gates in the store.
+const STORE_PERIOD: Duration = Duration::from_secs(20);
+
+/// Time between two rounds of datagrams while a gate knows no other.
+const ALONE_PERIOD: Duration = Duration::from_secs(2);
+
+/// Time for which a gate that is not heard is still sent datagrams.
+const FORGET_AFTER: Duration = Duration::from_mins(2);
+
+/// Longest datagram.
+const MAX_DATAGRAM: usize = 1_400;
+
+/// One known gate.
+#[derive(Clone, Debug)]
+struct GateContact {
+    data_centre: DataCentre,
+    callers: SocketAddr,
+    known_at: Moment,
+}
+
+/// Gates by the address for datagrams, this one included once it is registered.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct GateContacts {
+    contacts: HashMap<SocketAddr, GateContact>,
+}
+
+impl GateContacts {
+    /// Takes what a gate said of itself, or what the store told.
+    pub(crate) fn note(&mut self, record: &GateRecord, now: Moment) {
+        let contact = GateContact {
+            data_centre: record.data_centre.clone(),
+            callers: record.callers,
+            known_at: now,
+        };
+        self.contacts.insert(record.peers, contact);
+    }
+
+    /// Known gates.
+    pub(crate) fn fleet_size(&self) -> usize {
+        self.contacts.len()
+    }
+
+    /// Addresses for datagrams in a data centre.
+    fn peers_of(&self, data_centre: &DataCentre) -> Vec<SocketAddr> {
+        let contacts = self.contacts.iter();
+        let contacts = contacts.filter(|(_, contact)| contact.data_centre == *data_centre);
+        contacts.map(|(address, _)| *address).collect()
+    }
+
+    /// Addresses for callers of the gates in a data centre.
+    pub(crate) fn callers_of(&self, data_centre: &DataCentre) -> Vec<SocketAddr> {
+        let contacts = self.contacts.values();
+        let contacts = contacts.filter(|contact| contact.data_centre == *data_centre);
+        contacts.map(|contact| contact.callers).collect()
+    }
+
+    /// Addresses for callers of all gates.
+    pub(crate) fn all_callers(&self) -> Vec<SocketAddr> {
+        let contacts = self.contacts.values();
+        contacts.map(|contact| contact.callers).collect()
+    }
+
+    /// Forgets gates that were not heard of for long.
+    fn forget(&mut self, now: Moment) {
+        self.contacts
+            .retain(|_, contact| now.since(contact.known_at) < FORGET_AFTER);
+    }
+}
+
+/// Registers this gate in the store once it is ready, and reads the others from time to time.
+pub(crate) async fn follow_store<W, S>(core: Rc<EdgeCore<W, S>>)
+where
+    W: EdgeWire,
+    S: FleetStore,
+{
+    let mut health = StoreHealth::new(&core.log, "gates");
+    let mut registered = false;
+    loop {
+        if !registered && core.is_ready() {
+            let own = core.gates.borrow().own().clone();
+            match core.store.write_gate(&own).await {
+                Ok(()) => registered = true,
+                Err(error) => {
+                    sleep(health.failed(&error)).await;
+                    continue;
+                }
+            }
+        }
+        if !registered {
+            sleep(READY_CHECK).await;
+            continue;
+        }
+        match core.store.read_gates().await {
+            Ok(gates) => {
+                health.succeeded();
+                let now = core.clock.now();
+                let mut contacts = core.contacts.borrow_mut();
+                for gate in &gates {
+                    contacts.note(gate, now);
+                }
+                drop(contacts);
+                core.refresh_services(now);
+            }
+            Err(error) => {
+                sleep(health.failed(&error)).await;
+                continue;
+            }
+        }
+        sleep(STORE_PERIOD.mul_f64(rand::random_range(0.8..1.2))).await;
+    }
+}
+
+/// Pause between looks at whether the gate is ready.
+const READY_CHECK: Duration = Duration::from_millis(20);
+
+/// Sends datagrams to the gates of the data centre, and lets the leases of others run out.
+pub(crate) async fn announce<W, S>(core: Rc<EdgeCore<W, S>>, socket: Rc<UdpSocket>)
+where
+    W: EdgeWire,
+    S: 'static,
+{
+    loop {
+        let now = core.clock.now();
+        let report = core.gates.borrow_mut().tick(now);
+        for gate in report.withdrawn {
+            let pairs = slog::o!("gate" => gate.to_string());
+            core.log
+                .emit(LogEvent::GateWithdrawn, "gate was not heard", pairs);
+        }
+        core.contacts.borrow_mut().forget(now);
+        let sent = say_hello(&core, &socket).await;
+        let period = if sent == 0 { ALONE_PERIOD } else { HELLO_PERIOD };
+        sleep(period.mul_f64(rand::random_range(0.8..1.2))).await;
+    }
+}
+
+/// Sends one round of datagrams; yields to how many gates.
+async fn say_hello<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) -> usize {
+    let mut record = core.gates.borrow().own().clone();
+    if !core.is_ready() {
+        record.state = GateState::Draining;
+    }
+    let message = PeerMessage::Hello(PeerHello {
+        version: PROTOCOL_VERSION,
+        record,
+    });
+    send_to_near(core, socket, &message).await
+}
+
+/// Tells the gates of the data centre that this one leaves.
+pub(crate) async fn say_goodbye<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) {
+    let gate = core.gates.borrow().own().gate.clone();
+    send_to_near(core, socket, &PeerMessage::Goodbye(gate)).await;
+}
+
+/// Sends a datagram to each gate of the data centre; yields to how many.
+async fn send_to_near<W, S>(
+    core: &EdgeCore<W, S>,
+    socket: &UdpSocket,
+    message: &PeerMessage,
+) -> usize {
+    let settings = core.settings();
+    let mut peers = core.contacts.borrow().peers_of(&settings.data_centre);
+    peers.retain(|address| *address != settings.listen_gates);
+    let bytes = encode_message(message);
+    for address in &peers {
+        // A datagram that is not sent counts as a lost one; the next follows soon.
+        let _lost = socket.send_to(&bytes, address).await;
+    }
+    peers.len()
+}
+
+/// Takes the datagrams of other gates.
+pub(crate) async fn hear<W, S>(core: Rc<EdgeCore<W, S>>, socket: Rc<UdpSocket>)
+where
+    W: EdgeWire,
+    S: 'static,
+{
+    let mut buffer = vec![0; MAX_DATAGRAM];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            sleep(READY_CHECK).await;
+            continue;
+        };
+        let now = core.clock.now();
+        match decode_message(&buffer[..length]) {
+            Ok(PeerMessage::Hello(hello)) if hello.version == PROTOCOL_VERSION => {
+                core.contacts.borrow_mut().note(&hello.record, now);
+                let gate = hello.record.gate.to_string();
+                let news = core.gates.borrow_mut().hear(hello.record, now);
+                if matches!(news, PeerNews::Joined | PeerNews::Back) {
+                    let pairs = slog::o!("gate" => gate);
+                    core.log.emit(LogEvent::GateJoined, "gate is heard", pairs);
+                }
+            }
+            Ok(PeerMessage::Goodbye(gate)) => {
+                if core.gates.borrow_mut().goodbye(&gate) {
+                    let pairs = slog::o!("gate" => gate.to_string());
+                    core.log.emit(LogEvent::GateLeft, "gate leaves", pairs);
+                }
+            }
+            Ok(_) => {}
+            Err(error) => {
+                let pairs = slog::o!("cause" => error.to_string());
+                let message = "datagram is not from a gate";
+                core.log.emit(LogEvent::PeerLinkRejected, message, pairs);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/edge/src/listen.rs
@@ -0,0 +1,190 @@
+//! The ports of a gate: callers, readiness, and questions for gates.
+
+use std::cell::Cell;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::MessageBody;
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
+use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use bytes::Bytes;
+use ggs_observe::{EventLog, LogEvent};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::body::EdgeBody;
+use crate::core::EdgeCore;
+use crate::entries::entry_answer;
+use crate::ports::EdgeWire;
+use crate::serve;
+
+/// Time for which an idle connection of a caller is kept; longer than callers reuse theirs, whatever
+/// the limit that their configuration names.
+const IDLE_TIME: Duration = Duration::from_secs(90);
+
+/// Longest time for the head of a request.
+const HEAD_TIME: Duration = Duration::from_secs(10);
+
+/// Longest time to finish a close.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// How often the end of all connections is checked.
+const FINISH_CHECK: Duration = Duration::from_millis(10);
+
+/// Counts open connections of callers.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct OpenCallers {
+    count: Rc<Cell<usize>>,
+}
+
+impl OpenCallers {
+    /// Waits until no connection is open.
+    pub(crate) async fn finished(&self) {
+        while self.count.get() > 0 {
+            tokio::time::sleep(FINISH_CHECK).await;
+        }
+    }
+}
+
+/// Serves requests of callers until `stop` turns true, then lets each connection finish.
+pub(crate) async fn serve_callers<W, S>(
+    core: Rc<EdgeCore<W, S>>,
+    listener: TcpListener,
+    open: OpenCallers,
+    stop: watch::Receiver<bool>,
+) where
+    W: EdgeWire,
+    S: 'static,
+{
+    let log = core.log.clone();
+    let handler = move |request: Request| {
+        let core = Rc::clone(&core);
+        async move { serve::serve(&core, request).await }
+    };
+    accept(listener, open, stop, log, handler).await;
+}
+
+/// Answers whether the gate is ready.
+pub(crate) async fn serve_ready<W, S>(
+    core: Rc<EdgeCore<W, S>>,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+) where
+    W: EdgeWire,
+    S: 'static,
+{
+    let log = core.log.clone();
+    let handler = move |request: Request| {
+        let status = if !core.wire.is_ready_call(request.uri()) {
+            StatusCode::NOT_FOUND
+        } else if core.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        std::future::ready(Response::with_body(status, EdgeBody::whole(Bytes::new())))
+    };
+    accept(listener, OpenCallers::default(), stop, log, handler).await;
+}
+
+/// Answers questions for gates.
+pub(crate) async fn serve_entries<W, S>(
+    core: Rc<EdgeCore<W, S>>,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+) where
+    W: EdgeWire,
+    S: 'static,
+{
+    let log = core.log.clone();
+    let handler = move |request: Request| {
+        let response = answer_question(&core, &request);
+        std::future::ready(response)
+    };
+    accept(listener, OpenCallers::default(), stop, log, handler).await;
+}
+
+/// The answer to a question for gates.
+fn answer_question<W, S>(core: &EdgeCore<W, S>, request: &Request) -> Response<EdgeBody>
+where
+    W: EdgeWire,
+{
+    let empty = |status| Response::with_body(status, EdgeBody::whole(Bytes::new()));
+    let Some(question) = core.wire.read_entry_question(request.uri()) else {
+        return empty(StatusCode::NOT_FOUND);
+    };
+    let Some(answer) = entry_answer(core, &question.data_centre) else {
+        return empty(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    let body = core.wire.write_entry_answer(&answer);
+    let mut response = Response::with_body(StatusCode::OK, EdgeBody::whole(body));
+    let json = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(CONTENT_TYPE, json);
+    response
+}
+
+/// Accepts connections until `stop` turns true and answers their requests.
+///
+/// A request whose caller closes the connection is dropped, and with it whatever was done for it.
+async fn accept<H, F, B>(
+    listener: TcpListener,
+    open: OpenCallers,
+    stop: watch::Receiver<bool>,
+    log: EventLog,
+    handler: H,
+) where
+    H: Fn(Request) -> F + 'static,
+    F: Future<Output = Response<B>> + 'static,
+    B: MessageBody + 'static,
+{
+    let signal = stop.clone();
+    let handler = Rc::new(handler);
+    let routes = fn_service(move |request: Request| {
+        let handler = Rc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler(request).await) }
+    });
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(IDLE_TIME))
+        .client_request_timeout(HEAD_TIME)
+        .client_disconnect_timeout(CLOSE_TIME)
+        .h1_allow_half_closed(false)
+        .graceful_shutdown_signal(move || stopped(signal.clone()))
+        .h1(routes.into_factory());
+    let Ok(service) = factory.new_service(()).await else {
+        return;
+    };
+    let service = Rc::new(service);
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = stopped(stop.clone()) => return,
+        };
+        let Ok((stream, peer)) = accepted else {
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        // A socket that cannot be tuned still works.
+        let _untuned = stream.set_nodelay(true);
+        open.count.set(open.count.get() + 1);
+        let (service, open, log) = (Rc::clone(&service), open.clone(), log.clone());
+        actix_rt::spawn(async move {
+            if let Err(error) = service.call((stream, Some(peer))).await {
+                let pairs = slog::o!("caller" => peer.to_string(), "cause" => error.to_string());
+                let message = "caller connection ended";
+                log.emit(LogEvent::CallerConnectionFailed, message, pairs);
+            }
+            open.count.set(open.count.get() - 1);
+        });
+    }
+}
+
+/// Waits until `stop` turns true.
+async fn stopped(mut stop: watch::Receiver<bool>) {
+    // A sender that is gone stops too.
+    let _gone = stop.wait_for(|stopped| *stopped).await;
+}
--- /dev/null
+++ b/crates/edge/src/program.rs
@@ -0,0 +1,240 @@
+//! The process of a gate: command line in, exit code out.
+
+use std::ffi::OsString;
+use std::fmt::Display;
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use ggs_observe::{EventLog, LogEvent, LogFormat};
+use lexopt::prelude::{Long, Short};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+
+use crate::config::{follow_configs, follow_servers, follow_settings};
+use crate::core::EdgeCore;
+use crate::drain::drain;
+use crate::gates;
+use crate::listen::{OpenCallers, serve_callers, serve_entries, serve_ready};
+use crate::ports::{EdgeWire, FleetStore, SettingsSource};
+use crate::settings::EdgeSettings;
+
+/// The manual.
+const MANUAL: &str = r"ggs-edge - the gate as a role on every entry host of a platform
+
+USAGE
+    ggs-edge [--settings FILE] [--log json|off]
+    ggs-edge --check [--settings FILE]
+
+One process runs on each entry host; all are alike and keep nothing on disk. Routes,
+servers and the other gates are read from the platform's store. Callers ask any of
+them for addresses and send their requests to those.
+
+FLAGS
+    --settings FILE  The platform's settings file [default: the file that the
+                     platform names in the environment].
+    --check          Check the settings, print the first fault, and end.
+    --log FORMAT     json: one object a line on standard output; off: nothing
+                     [default: json]. docs/EVENTS.md lists the events.
+    -h, --help       Print this manual.
+    -V, --version    Print the version.
+
+SIGNALS
+    SIGTERM, SIGINT  Drain: no new entry answer names the gate, callers are accepted
+                     for a part of the grace, every request is finished, it ends.
+    SIGHUP           Read the settings again.
+
+EXIT CODES
+     0   done: checked without a fault, or drained
+     2   the command line is wrong
+     3   the settings cannot be read or have a fault
+     4   an address could not be bound, or signals could not be set up";
+
+/// How the process ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+enum EdgeExit {
+    /// The command line is wrong.
+    Usage = 2,
+    /// The settings cannot be read or have a fault.
+    Settings = 3,
+    /// An address could not be bound, or signals could not be set up.
+    StartFailed = 4,
+}
+
+impl EdgeExit {
+    /// Prints why the process ends so.
+    fn say(self, message: impl Display) -> Self {
+        eprintln!("ggs-edge: {message}");
+        self
+    }
+}
+
+/// What the command line asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum EdgeCommand {
+    Run(EdgeArguments),
+    Check(EdgeArguments),
+    Help,
+    Version,
+}
+
+/// Arguments of a run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct EdgeArguments {
+    settings: Option<PathBuf>,
+    log: LogFormat,
+}
+
+/// Runs the program with its arguments, the program's own name first.
+///
+/// `source` makes the source of settings for the file that was named, if one was; `connect` makes the
+/// adapter for checked settings.
+pub fn run<P, W, S>(
+    arguments: impl IntoIterator<Item = OsString>,
+    source: impl FnOnce(Option<PathBuf>) -> P,
+    connect: impl FnOnce(&EdgeSettings) -> (W, S),
+) -> ExitCode
+where
+    P: SettingsSource,
+    W: EdgeWire,
+    S: FleetStore,
+{
+    match run_command(arguments, source, connect) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(exit) => ExitCode::from(exit as u8),
+    }
+}
+
+/// Carries the command line out.
+fn run_command<P, W, S>(
+    arguments: impl IntoIterator<Item = OsString>,
+    source: impl FnOnce(Option<PathBuf>) -> P,
+    connect: impl FnOnce(&EdgeSettings) -> (W, S),
+) -> Result<(), EdgeExit>
+where
+    P: SettingsSource,
+    W: EdgeWire,
+    S: FleetStore,
+{
+    let command = read_arguments(arguments).map_err(|error| {
+        let hint = "run \"ggs-edge --help\" for the manual";
+        EdgeExit::Usage.say(format_args!("{error}\n{hint}"))
+    })?;
+    match command {
+        EdgeCommand::Help => println!("{MANUAL}"),
+        EdgeCommand::Version => println!("ggs-edge {}", env!("CARGO_PKG_VERSION")),
+        EdgeCommand::Check(arguments) => {
+            let source = source(arguments.settings);
+            source
+                .read()
+                .map_err(|fault| EdgeExit::Settings.say(fault))?;
+            println!("settings have no fault");
+        }
+        EdgeCommand::Run(arguments) => {
+            let source = source(arguments.settings);
+            let settings = source
+                .read()
+                .map_err(|fault| EdgeExit::Settings.say(fault))?;
+            let log = EventLog::new(arguments.log, settings.host.as_str());
+            return actix_rt::System::new().block_on(async move {
+                // Codecs keep the date with a task of their own, so they need the runtime.
+                let (wire, store) = connect(&settings);
+                let core = EdgeCore::new(settings, wire, store, log);
+                serve(core, source).await
+            });
+        }
+    }
+    Ok(())
+}
+
+/// Reads the command line.
+fn read_arguments(
+    arguments: impl IntoIterator<Item = OsString>,
+) -> Result<EdgeCommand, lexopt::Error> {
+    let mut parser = lexopt::Parser::from_iter(arguments);
+    let mut settings = None;
+    let mut log = LogFormat::JsonOutput;
+    let mut check = false;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Long("settings") => settings = Some(parser.value()?.into()),
+            Long("check") => check = true,
+            Long("log") => {
+                let value = parser.value()?;
+                log = match value.to_str() {
+                    Some("json") => LogFormat::JsonOutput,
+                    Some("off") => LogFormat::Off,
+                    _ => return Err("--log: expected json or off".into()),
+                };
+            }
+            Long("help") | Short('h') => return Ok(EdgeCommand::Help),
+            Long("version") | Short('V') => return Ok(EdgeCommand::Version),
+            _ => return Err(argument.unexpected()),
+        }
+    }
+    let arguments = EdgeArguments { settings, log };
+    Ok(if check {
+        EdgeCommand::Check(arguments)
+    } else {
+        EdgeCommand::Run(arguments)
+    })
+}
+
+/// Serves until a signal asks the gate to end, then drains.
+async fn serve<W, S, P>(core: Rc<EdgeCore<W, S>>, source: P) -> Result<(), EdgeExit>
+where
+    W: EdgeWire,
+    S: FleetStore,
+    P: SettingsSource,
+{
+    let failed = |error: io::Error| EdgeExit::StartFailed.say(format_args!("signals: {error}"));
+    let mut terminated = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut interrupted = signal(SignalKind::interrupt()).map_err(failed)?;
+    let reload = signal(SignalKind::hangup()).map_err(failed)?;
+    let settings = core.settings();
+    let callers = bind(&core.log, settings.listen_callers).await?;
+    let ready = bind(&core.log, settings.listen_ready).await?;
+    let entries = bind(&core.log, settings.listen_entries).await?;
+    let socket = UdpSocket::bind(settings.listen_gates).await;
+    let socket = socket.map_err(|error| bind_failed(&core.log, settings.listen_gates, &error))?;
+    let socket = Rc::new(socket);
+    let (stop, stopped) = watch::channel(false);
+    let (finish, finished) = watch::channel(false);
+    let open = OpenCallers::default();
+    let own = Rc::clone;
+    actix_rt::spawn(serve_callers(own(&core), callers, open.clone(), stopped));
+    actix_rt::spawn(serve_ready(own(&core), ready, finished.clone()));
+    actix_rt::spawn(serve_entries(own(&core), entries, finished));
+    actix_rt::spawn(follow_configs(own(&core)));
+    actix_rt::spawn(follow_servers(own(&core)));
+    actix_rt::spawn(follow_settings(own(&core), source, reload));
+    actix_rt::spawn(gates::follow_store(own(&core)));
+    actix_rt::spawn(gates::announce(own(&core), Rc::clone(&socket)));
+    actix_rt::spawn(gates::hear(own(&core), Rc::clone(&socket)));
+    let pairs = slog::o!("callers" => settings.listen_callers.to_string());
+    core.log.emit(LogEvent::GateStarted, "gate listens", pairs);
+    tokio::select! {
+        _ = terminated.recv() => {}
+        _ = interrupted.recv() => {}
+    }
+    drain(&core, &socket, &open, &stop).await;
+    drop(finish);
+    Ok(())
+}
+
+/// Binds an address.
+async fn bind(log: &EventLog, address: SocketAddr) -> Result<TcpListener, EdgeExit> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| bind_failed(log, address, &error))
+}
+
+/// Logs and prints that an address could not be bound.
+fn bind_failed(log: &EventLog, address: SocketAddr, error: &io::Error) -> EdgeExit {
+    let pairs = slog::o!("address" => address.to_string(), "cause" => error.to_string());
+    log.emit(LogEvent::BindFailed, "address cannot be bound", pairs);
+    EdgeExit::StartFailed.say(format_args!("address {address} cannot be bound: {error}"))
+}
--- /dev/null
+++ b/crates/edge/src/service.rs
@@ -0,0 +1,65 @@
+//! What a gate knows of one service and its routes.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+
+use foldhash::{HashMap, HashMapExt};
+use ggs_limit::RetryBudget;
+use ggs_model::ServiceName;
+use ggs_place::{PlaceBoard, WorkEstimate};
+use ggs_route::RouteRule;
+
+/// Answers without a load after which a service counts as one whose servers tell none.
+const LOADLESS_ANSWERS: u32 = 8;
+
+/// State of one service at one gate.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    /// Its name.
+    pub(crate) name: ServiceName,
+    /// Its servers.
+    pub(crate) board: RefCell<PlaceBoard>,
+    /// The gate's part of the second sends.
+    pub(crate) retries: RefCell<RetryBudget>,
+    /// Work of the routes that lead here, by name.
+    works: RefCell<HashMap<Arc<str>, WorkEstimate>>,
+    /// Answers to questions that told no load, in a row.
+    loadless: Cell<u32>,
+}
+
+impl ServiceState {
+    /// A service without servers.
+    pub(crate) fn new(name: ServiceName, retries: RetryBudget) -> Rc<Self> {
+        Rc::new(Self {
+            name,
+            board: RefCell::new(PlaceBoard::new(rand::random())),
+            retries: RefCell::new(retries),
+            works: RefCell::new(HashMap::new()),
+            loadless: Cell::new(0),
+        })
+    }
+
+    /// Work of a route on this service.
+    pub(crate) fn work(&self, rule: &RouteRule) -> WorkEstimate {
+        let works = self.works.borrow();
+        let known = works.get(&rule.name).copied();
+        known.unwrap_or_else(|| WorkEstimate::from_objective(rule.objective))
+    }
+
+    /// Keeps a newer estimate of a route's work.
+    pub(crate) fn set_work(&self, rule: &RouteRule, work: WorkEstimate) {
+        self.works.borrow_mut().insert(Arc::clone(&rule.name), work);
+    }
+
+    /// Notes whether the answer to a question told a load.
+    pub(crate) fn note_told(&self, told: bool) {
+        let loadless = if told { 0 } else { self.loadless.get() + 1 };
+        self.loadless.set(loadless);
+    }
+
+    /// Whether asking the servers tells their load.
+    pub(crate) fn tells_load(&self) -> bool {
+        self.loadless.get() < LOADLESS_ANSWERS
+    }
+}
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -1,16 +1,19 @@
 //! Retry allowances and admission limits per partner and class.
 //!
 //! [`RetryAllowance`] bounds the attempts that retries add along a chain of calls.
+//! [`RetryBudget`] bounds the second sends of all gates together.
 //! [`AdmissionLimits`] bounds the requests in flight at one gate, so that one partner's flood or one
 //! class of request leaves room for the others. [`ConnectionShare`] bounds the connections that one gate
 //! holds to a server. All are plain values: they read no clock and do no I/O.
 
 mod admission;
+mod budget;
 mod retry;
 mod share;
 
 pub use admission::{
     AdmissionLimits, EntryPass, EntryRefusal, EntryRequest, GateCapacity, RefusalCause,
 };
+pub use budget::RetryBudget;
 pub use retry::{CallPlace, RetryAllowance};
 pub use share::{ConnectionShare, MAX_GATES, SHARE_HOLD, SHARE_PAUSE};
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -30,6 +30,8 @@
     BindFailed = 103,
     /// Settings have faults.
     SettingsInvalid = 104,
+    /// Changed settings are in force.
+    SettingsReloaded = 105,
     /// A document came into force.
     DocumentInForce = 200,
     /// A document from the platform could not be read.
@@ -38,6 +40,10 @@
     DocumentsStale = 202,
     /// The documents are known to be the newest again.
     DocumentsFresh = 203,
+    /// A configuration came into force.
+    ConfigInForce = 204,
+    /// A configuration could not be read; the one in force stays.
+    ConfigUnreadable = 205,
     /// A platform call failed.
     PlatformFailed = 300,
     /// Platform calls succeed again.
@@ -46,10 +52,20 @@
     HostListShrunken = 302,
     /// A server is leaving.
     ServerLeaving = 303,
+    /// A server takes new work.
+    ServerListed = 304,
+    /// A server takes no new work: it is leaving or gone.
+    ServerDropped = 305,
+    /// A row of the server list names no server that can be used.
+    ServerUnreadable = 306,
     /// A request failed with a verdict.
     RequestFailed = 400,
     /// A caller's connection broke a rule of the protocol.
     CallerConnectionFailed = 401,
+    /// A request has its final answer.
+    RequestEnded = 402,
+    /// A send to a server has no answer for the caller.
+    AttemptFailed = 403,
     /// Another gate was heard for the first time or again.
     GateJoined = 500,
     /// Another gate said goodbye.
@@ -82,10 +98,14 @@
     /// How much the event matters.
     pub const fn level(self) -> LogLevel {
         match self {
-            Self::BindFailed | Self::SettingsInvalid | Self::DocumentInvalid => LogLevel::Error,
+            Self::BindFailed
+            | Self::SettingsInvalid
+            | Self::DocumentInvalid
+            | Self::ConfigUnreadable => LogLevel::Error,
             Self::DocumentsStale
             | Self::PlatformFailed
             | Self::HostListShrunken
+            | Self::ServerUnreadable
             | Self::GateWithdrawn
             | Self::GatesLost
             | Self::GateWoke
@@ -93,7 +113,13 @@
             Self::GateStarted
             | Self::GateDraining
             | Self::GateStopped
+            | Self::SettingsReloaded
             | Self::DocumentInForce
+            | Self::ConfigInForce
+            | Self::ServerListed
+            | Self::ServerDropped
+            | Self::RequestEnded
+            | Self::AttemptFailed
             | Self::DocumentsFresh
             | Self::PlatformRecovered
             | Self::ServerLeaving
--- a/crates/observe/src/log.rs
+++ b/crates/observe/src/log.rs
@@ -9,6 +9,8 @@
 pub enum LogFormat {
     /// One JSON object a line on standard error.
     Json,
+    /// One JSON object a line on standard output.
+    JsonOutput,
     /// Nothing is written.
     Off,
 }
@@ -31,11 +33,8 @@
     pub fn new(format: LogFormat, host: &str) -> Self {
         let host = host.to_owned();
         let logger = match format {
-            LogFormat::Json => {
-                let drain = slog_json::Json::default(std::io::stderr()).fuse();
-                let drain = slog_async::Async::new(drain).build().fuse();
-                Logger::root(drain, o!("host" => host))
-            }
+            LogFormat::Json => json_logger(std::io::stderr(), host),
+            LogFormat::JsonOutput => json_logger(std::io::stdout(), host),
             LogFormat::Off => Logger::root(slog::Discard, o!("host" => host)),
         };
         Self { logger }
@@ -57,3 +56,13 @@
         }
     }
 }
+
+/// A logger that never blocks: lines beyond its buffer are dropped, and their number is reported.
+fn json_logger<W>(output: W, host: String) -> Logger
+where
+    W: std::io::Write + Send + 'static,
+{
+    let drain = slog_json::Json::default(output).fuse();
+    let drain = slog_async::Async::new(drain).build().fuse();
+    Logger::root(drain, o!("host" => host))
+}
--- /dev/null
+++ b/crates/place/src/board.rs
@@ -0,0 +1,385 @@
+//! The servers of one service as one gate sees them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use foldhash::{HashMap, HashMapExt};
+use ggs_model::Moment;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use strum::{Display, IntoStaticStr};
+
+use crate::LoadSample;
+
+/// Weight of the latest outcome in a server's failure rate, as one part in this many.
+const FAILURE_MEMORY: f64 = 4.0;
+
+/// Time in which a failure rate falls to half when nothing is sent.
+const FAILURE_HALF_LIFE: Duration = Duration::from_secs(2);
+
+/// How many times its expected time a server that fails all its requests is ranked at, less one.
+const FAILURE_WEIGHT: f64 = 8.0;
+
+/// Time for which a server that could not be reached is not asked.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(700);
+
+/// How much longer work takes on a server whose slots are all in use, at most, less one.
+const CROWDING_WEIGHT: f64 = 0.35;
+
+/// Slots of waiting room that a gate fills beyond the running ones, in parts of the slots: a server
+/// that is asked to queue more may drop a request without a word.
+const QUEUE_PARTS: u32 = 1;
+
+/// How much longer work takes on a server that has just started, less one.
+const COLD_WEIGHT: f64 = 1.0;
+
+/// Time that a crossing between data centres is ranked at, beyond its delay: bytes between them are
+/// dear.
+const CROSSING_COST: Duration = Duration::from_millis(5);
+
+/// Names a server of a board.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ServerKey(u64);
+
+/// What is known of a server from the list of servers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BoardServer {
+    /// Names the run of the server.
+    pub instance: Arc<str>,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it stands in the gate's data centre.
+    pub near: bool,
+    /// Requests that it can run at once.
+    pub slots: u32,
+    /// Until when it is slow after its start.
+    pub cold_until: Option<Moment>,
+}
+
+/// Which servers are asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum AskScope {
+    /// Those of the gate's data centre.
+    Near,
+    /// Those of other data centres.
+    Far,
+}
+
+/// A server that could take a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Placement {
+    /// The server.
+    pub server: ServerKey,
+    /// Time in which it is expected to answer.
+    pub expected: Duration,
+    /// Whether it has a free slot.
+    pub has_slot: bool,
+    /// Pace that it told last, as a percentage.
+    pub pace_percent: u32,
+}
+
+/// How a send to a server ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum SendOutcome {
+    /// A whole answer came.
+    Answered,
+    /// The server failed the request, or its answer was cut or never came.
+    Failed,
+    /// No connection could be opened.
+    Unreachable,
+    /// The server refused without running the request.
+    Refused,
+    /// The caller left, which says nothing of the server.
+    Abandoned,
+}
+
+/// One server with what the gate learned of it.
+#[derive(Clone, Debug)]
+struct BoardEntry {
+    server: BoardServer,
+    sample: Option<(LoadSample, Moment)>,
+    /// Own sends since the sample was taken.
+    sent_since: u32,
+    in_flight: u32,
+    failure_rate: f64,
+    failure_at: Moment,
+    avoid_until: Moment,
+}
+
+impl BoardEntry {
+    /// An entry that knows nothing but the list.
+    fn new(server: BoardServer, now: Moment) -> Self {
+        Self {
+            server,
+            sample: None,
+            sent_since: 0,
+            in_flight: 0,
+            failure_rate: 0.0,
+            failure_at: now,
+            avoid_until: Moment::ZERO,
+        }
+    }
+
+    /// The failure rate at `now`.
+    fn failures(&self, now: Moment) -> f64 {
+        let idle = now.since(self.failure_at).as_secs_f64();
+        self.failure_rate * 0.5_f64.powf(idle / FAILURE_HALF_LIFE.as_secs_f64())
+    }
+
+    /// The load to reckon with: what the server told at or after `since`, or the gate's own part.
+    fn load(&self, since: Moment) -> LoadSample {
+        match self.sample {
+            Some((mut sample, at)) if at >= since => {
+                sample.running += self.sent_since;
+                sample
+            }
+            _ => LoadSample {
+                running: self.in_flight,
+                waiting: 0,
+                slots: self.server.slots,
+                pace_percent: 100,
+            },
+        }
+    }
+}
+
+/// The servers of one service.
+///
+/// ```
+/// use std::time::Duration;
+/// use ggs_model::Moment;
+/// use ggs_place::{AskScope, BoardServer, LoadSample, PlaceBoard};
+///
+/// let now = Moment::ZERO;
+/// let mut board = PlaceBoard::new(1);
+/// let server = |name: &str| BoardServer {
+///     instance: name.into(),
+///     address: "10.0.0.1:80".parse().unwrap(),
+///     near: true,
+///     slots: 3,
+///     cold_until: None,
+/// };
+/// board.replace(vec![server("a"), server("b")], now);
+/// let asked = board.ask_plan(2, AskScope::Near, now);
+/// let free = LoadSample { running: 0, waiting: 0, slots: 3, pace_percent: 100 };
+/// let slow = LoadSample { pace_percent: 700, ..free };
+/// board.note_load(asked[0], slow, now);
+/// board.note_load(asked[1], free, now);
+/// let best = board.best(&asked, Duration::from_millis(50), now, now).unwrap();
+/// assert_eq!(best.server, asked[1]);
+/// ```
+#[derive(Clone, Debug)]
+pub struct PlaceBoard {
+    entries: HashMap<ServerKey, BoardEntry>,
+    near: Vec<ServerKey>,
+    far: Vec<ServerKey>,
+    next_key: u64,
+    rng: SmallRng,
+}
+
+impl PlaceBoard {
+    /// A board without servers, whose choices among equals follow `seed`.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            entries: HashMap::new(),
+            near: Vec::new(),
+            far: Vec::new(),
+            next_key: 1,
+            rng: SmallRng::seed_from_u64(seed),
+        }
+    }
+
+    /// Takes the servers that may get requests; what is known of those that stay is kept.
+    pub fn replace(&mut self, servers: Vec<BoardServer>, now: Moment) {
+        let mut old: HashMap<Arc<str>, (ServerKey, BoardEntry)> = HashMap::new();
+        for (key, entry) in self.entries.drain() {
+            old.insert(Arc::clone(&entry.server.instance), (key, entry));
+        }
+        self.near.clear();
+        self.far.clear();
+        for server in servers {
+            let known = old.remove(&server.instance);
+            let known = known.filter(|(_, entry)| entry.server.address == server.address);
+            let (key, mut entry) = known.unwrap_or_else(|| {
+                let key = ServerKey(self.next_key);
+                self.next_key += 1;
+                (key, BoardEntry::new(server.clone(), now))
+            });
+            let list = if server.near {
+                &mut self.near
+            } else {
+                &mut self.far
+            };
+            list.push(key);
+            entry.server = server;
+            self.entries.insert(key, entry);
+        }
+    }
+
+    /// Number of servers.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there is no server.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Whether there are servers in `scope`.
+    pub fn has_any(&self, scope: AskScope) -> bool {
+        !self.list(scope).is_empty()
+    }
+
+    /// A server that is still listed.
+    pub fn server(&self, key: ServerKey) -> Option<&BoardServer> {
+        self.entries.get(&key).map(|entry| &entry.server)
+    }
+
+    /// All servers.
+    pub fn servers(&self) -> impl Iterator<Item = &BoardServer> {
+        self.entries.values().map(|entry| &entry.server)
+    }
+
+    /// Draws up to `count` servers to ask; those that could not be reached of late come last.
+    pub fn ask_plan(&mut self, count: usize, scope: AskScope, now: Moment) -> Vec<ServerKey> {
+        let mut keys = self.list(scope).to_vec();
+        let count = count.min(keys.len());
+        let usable = |key: &ServerKey| self.entries[key].avoid_until <= now;
+        let (mut plan, mut avoided): (Vec<_>, Vec<_>) = keys.drain(..).partition(usable);
+        draw(&mut plan, count, &mut self.rng);
+        if plan.len() < count {
+            draw(&mut avoided, count - plan.len(), &mut self.rng);
+            plan.append(&mut avoided);
+        }
+        plan
+    }
+
+    /// Takes the load that a server told.
+    pub fn note_load(&mut self, key: ServerKey, sample: LoadSample, now: Moment) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.sample = Some((sample, now));
+            entry.sent_since = 0;
+        }
+    }
+
+    /// Notes that a server did not answer a question in time.
+    pub fn note_silent(&mut self, key: ServerKey, now: Moment) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.sample = None;
+            entry.avoid_until = now + UNREACHABLE_PAUSE;
+        }
+    }
+
+    /// The server among `asked` that is expected to answer first, by loads told at or after `since`.
+    ///
+    /// Servers whose waiting room this gate would overfill are left out.
+    pub fn best(
+        &mut self,
+        asked: &[ServerKey],
+        work: Duration,
+        since: Moment,
+        now: Moment,
+    ) -> Option<Placement> {
+        let mut best: Option<(f64, Placement)> = None;
+        for key in asked {
+            let Some(entry) = self.entries.get(key) else {
+                continue;
+            };
+            let Some((placement, rank)) = place(*key, entry, work, since, now) else {
+                continue;
+            };
+            // Gates that ask at the same moment should not all send to the same server.
+            let rank = rank * self.rng.random_range(0.95..1.05);
+            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
+                best = Some((rank, placement));
+            }
+        }
+        best.map(|(_, placement)| placement)
+    }
+
+    /// Notes that a request goes to a server.
+    pub fn start(&mut self, key: ServerKey) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.in_flight += 1;
+            entry.sent_since += 1;
+        }
+    }
+
+    /// Notes how a request that was started ended.
+    pub fn end(&mut self, key: ServerKey, outcome: SendOutcome, now: Moment) {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        entry.in_flight = entry.in_flight.saturating_sub(1);
+        let failed = match outcome {
+            SendOutcome::Abandoned => return,
+            SendOutcome::Answered => 0.0,
+            SendOutcome::Failed | SendOutcome::Refused => 1.0,
+            SendOutcome::Unreachable => {
+                entry.avoid_until = now + UNREACHABLE_PAUSE;
+                1.0
+            }
+        };
+        let rate = entry.failures(now);
+        entry.failure_rate = rate + (failed - rate) / FAILURE_MEMORY;
+        entry.failure_at = now;
+    }
+
+    /// The servers of a scope.
+    fn list(&self, scope: AskScope) -> &[ServerKey] {
+        match scope {
+            AskScope::Near => &self.near,
+            AskScope::Far => &self.far,
+        }
+    }
+}
+
+/// Keeps `count` random keys of a list.
+fn draw(keys: &mut Vec<ServerKey>, count: usize, rng: &mut SmallRng) {
+    let count = count.min(keys.len());
+    for index in 0..count {
+        let other = rng.random_range(index..keys.len());
+        keys.swap(index, other);
+    }
+    keys.truncate(count);
+}
+
+/// When an entry is expected to answer, and the figure to rank it by; `None` if its waiting room is
+/// full.
+fn place(
+    key: ServerKey,
+    entry: &BoardEntry,
+    work: Duration,
+    since: Moment,
+    now: Moment,
+) -> Option<(Placement, f64)> {
+    let load = entry.load(since);
+    let slots = load.slots.max(1);
+    let ahead = load.ahead(0);
+    if ahead > slots * QUEUE_PARTS {
+        return None;
+    }
+    let crowding = f64::from(load.running.min(slots)) / f64::from(slots) * CROWDING_WEIGHT;
+    let cold = entry.server.cold_until.is_some_and(|until| until > now);
+    let cold = if cold { COLD_WEIGHT } else { 0.0 };
+    let pace = f64::from(load.pace_percent) / 100.0 * (1.0 + crowding) * (1.0 + cold);
+    let rounds = 1.0 + f64::from(ahead) / f64::from(slots);
+    let crossing = if entry.server.near {
+        Duration::ZERO
+    } else {
+        CROSSING_COST
+    };
+    let expected = work.mul_f64(pace * rounds) + crossing;
+    let rank = expected.as_secs_f64() * (1.0 + entry.failures(now) * FAILURE_WEIGHT);
+    let placement = Placement {
+        server: key,
+        expected,
+        has_slot: ahead == 0,
+        pace_percent: load.pace_percent,
+    };
+    Some((placement, rank))
+}
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -61,7 +61,7 @@
 
 impl RelayBody {
     /// A body that must end by `limit` from now, or, with `progress`, must go on within that time.
-    pub(crate) fn new(
+    pub fn new(
         connection: ServerConnection,
         place: ConnectionPlace,
         reusable: bool,
@@ -98,10 +98,7 @@
             .map_codec(ClientPayloadCodec::into_message_codec);
         let now: Moment = BootClock.now();
         source.place.keep(
-            ServerConnection {
-                framed,
-                idle_since: None,
-            },
+            ServerConnection::from_framed(framed),
             now,
         );
     }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -1,15 +1,19 @@
 //! One HTTP/1.1 connection to a server, with one request in flight at a time.
 
+use std::future::poll_fn;
 use std::io;
 use std::net::SocketAddr;
+use std::task::Poll;
 use std::time::Duration;
 
 use actix_http::body::BodySize;
-use actix_http::h1::{ClientCodec, Message, MessageType};
+use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
 use bytes::Bytes;
 use futures_util::{SinkExt, StreamExt};
 use ggs_model::{HeaderNames, Moment};
+use rustix::net::sockopt;
+use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
@@ -25,6 +29,24 @@
     pub idle_limit: Duration,
     /// Connections that this gate may hold to one server.
     pub share: usize,
+    /// Whether the system probes a connection that is silent, so that one whose path was lost breaks
+    /// within seconds. For calls that wait long for their answer.
+    pub keep_alive: bool,
+}
+
+/// Silence after which a connection is probed, and time between two probes.
+const KEEP_ALIVE_PERIOD: Duration = Duration::from_secs(1);
+
+/// Probes without an answer after which a connection is broken.
+const KEEP_ALIVE_PROBES: u32 = 2;
+
+/// Lets the system probe a connection.
+fn probe_silence(stream: &TcpStream) -> io::Result<()> {
+    sockopt::set_socket_keepalive(stream, true)?;
+    sockopt::set_tcp_keepidle(stream, KEEP_ALIVE_PERIOD)?;
+    sockopt::set_tcp_keepintvl(stream, KEEP_ALIVE_PERIOD)?;
+    sockopt::set_tcp_keepcnt(stream, KEEP_ALIVE_PROBES)?;
+    Ok(())
 }
 
 impl Default for ConnectionOptions {
@@ -33,6 +55,7 @@
             connect_timeout: Duration::from_millis(250),
             idle_limit: Duration::from_secs(10),
             share: 12,
+            keep_alive: false,
         }
     }
 }
@@ -44,6 +67,8 @@
     pub(crate) framed: Framed<TcpStream, ClientCodec>,
     /// When the last answer ended; `None` for a new connection.
     pub(crate) idle_since: Option<Moment>,
+    /// Whether the last request was written to its end.
+    whole_request: bool,
 }
 
 /// What a server is told of one attempt.
@@ -81,11 +106,20 @@
     ) -> io::Result<Self> {
         let stream = timeout(options.connect_timeout, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
+        if options.keep_alive {
+            probe_silence(&stream)?;
+        }
         let codec = ClientCodec::new(config.clone());
-        Ok(Self {
-            framed: Framed::new(stream, codec),
+        Ok(Self::from_framed(Framed::new(stream, codec)))
+    }
+
+    /// A connection that is between two requests.
+    pub(crate) fn from_framed(framed: Framed<TcpStream, ClientCodec>) -> Self {
+        Self {
+            framed,
             idle_since: None,
-        })
+            whole_request: true,
+        }
     }
 
     /// Whether the connection has carried a request before.
@@ -115,25 +149,19 @@
             sent: true,
             reused,
         };
-        self.send(request, label)
+        let message = attempt_head(request, label);
+        self.send(message, &request.body)
             .await
             .map_err(|_| fail(FailureKind::ConnectionLost))?;
-        let head = match self.framed.next().await {
-            Some(Ok(head)) => head,
-            Some(Err(actix_http::error::ParseError::Io(_))) | None => {
-                return Err(fail(FailureKind::ConnectionLost));
-            }
-            Some(Err(_)) => return Err(fail(FailureKind::BadAnswer)),
-        };
-        let codec = self.framed.codec();
+        let head = self.read_head().await.map_err(fail)?;
         let echoed = head.headers.get(HeaderNames::REQUEST_ID);
         let owned = echoed.map(|value| value.as_bytes() == label.id.to_string().as_bytes());
         let unbounded = !is_bounded(&head, &request.method);
         if owned == Some(false) || unbounded || head.status.is_informational() {
             return Err(fail(FailureKind::BadAnswer));
         }
-        let has_body = codec.message_type() == MessageType::Payload;
-        let reusable = codec.keep_alive() && owned == Some(true);
+        let has_body = self.has_body();
+        let reusable = self.is_reusable() && owned == Some(true);
         Ok(AnswerStart {
             head,
             has_body,
@@ -141,26 +169,120 @@
         })
     }
 
-    /// Writes the head and the body of a request.
-    async fn send(&mut self, request: &RelayRequest, label: &AttemptLabel) -> io::Result<()> {
-        let mut head = RequestHead::default();
-        head.method = request.method.clone();
-        head.uri = request.target.clone();
-        head.headers = request.headers.clone();
-        let deadline = label.remaining.as_millis() as u64;
-        insert_number(&mut head, HeaderNames::DEADLINE, deadline);
-        insert_number(&mut head, HeaderNames::REQUEST_ID, label.id);
-        insert_number(&mut head, HeaderNames::ATTEMPT, u64::from(label.retry));
-        let size = body_size(&request.body, &request.method);
+    /// Writes a request with its whole body.
+    ///
+    /// An answer may come before the body has left; then the rest of the body is not written, and the
+    /// connection must not carry another request.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke.
+    pub async fn send(&mut self, head: RequestHead, body: &Bytes) -> io::Result<()> {
+        let size = body_size(body, &head.method);
         let head = RequestHeadType::Owned(head);
         self.framed.feed(Message::Item((head, size))).await?;
-        if !request.body.is_empty() {
+        if !body.is_empty() {
             self.framed
-                .feed(Message::Chunk(Some(Bytes::clone(&request.body))))
+                .feed(Message::Chunk(Some(Bytes::clone(body))))
                 .await?;
         }
-        self.framed.flush().await
+        let flushed = poll_fn(|context| {
+            let flush = SinkExt::<Message<(RequestHeadType, BodySize)>>::poll_flush_unpin;
+            if let Poll::Ready(flushed) = flush(&mut self.framed, context) {
+                return Poll::Ready(flushed.map(|()| true));
+            }
+            // A server that answers early may never read the rest.
+            self.framed
+                .get_ref()
+                .poll_read_ready(context)
+                .map_ok(|()| false)
+        });
+        self.whole_request = flushed.await?;
+        Ok(())
+    }
+
+    /// Reads the head of the next answer.
+    ///
+    /// # Errors
+    ///
+    /// The connection ended, or what came is no answer.
+    pub async fn read_head(&mut self) -> Result<ResponseHead, FailureKind> {
+        match self.framed.next().await {
+            Some(Ok(head)) => Ok(head),
+            Some(Err(actix_http::error::ParseError::Io(_))) | None => {
+                Err(FailureKind::ConnectionLost)
+            }
+            Some(Err(_)) => Err(FailureKind::BadAnswer),
+        }
+    }
+
+    /// Whether bytes of a body follow the head that was read last.
+    pub fn has_body(&self) -> bool {
+        self.framed.codec().message_type() == MessageType::Payload
     }
+
+    /// Whether the connection may carry another request after the present answer.
+    pub fn is_reusable(&self) -> bool {
+        self.framed.codec().keep_alive() && self.whole_request
+    }
+
+    /// Whether bytes have come that belong to no answer read so far.
+    pub fn has_surplus(&self) -> bool {
+        !self.framed.read_buffer().is_empty()
+    }
+
+    /// Reads an answer without a length up to the end of the connection.
+    ///
+    /// # Errors
+    ///
+    /// The connection broke, which leaves the answer cut, or the answer is longer than `limit`.
+    pub async fn read_to_end(self, limit: usize) -> Result<Bytes, FailureKind> {
+        let parts = self.framed.into_parts();
+        let (mut stream, mut body) = (parts.io, parts.read_buf);
+        while body.len() <= limit {
+            match stream.read_buf(&mut body).await {
+                Ok(0) => return Ok(body.freeze()),
+                Ok(_) => {}
+                Err(_) => return Err(FailureKind::ConnectionLost),
+            }
+        }
+        Err(FailureKind::BadAnswer)
+    }
+
+    /// Reads the rest of an answer that is not wanted.
+    ///
+    /// # Errors
+    ///
+    /// The connection ended before the answer did.
+    pub async fn skip_body(self) -> Result<Self, FailureKind> {
+        if !self.has_body() {
+            return Ok(self);
+        }
+        let mut framed = self.framed.map_codec(ClientCodec::into_payload_codec);
+        while let Some(chunk) = framed.next().await {
+            let chunk = chunk.map_err(|_| FailureKind::ConnectionLost)?;
+            if chunk.is_none() {
+                return Ok(Self {
+                    framed: framed.map_codec(ClientPayloadCodec::into_message_codec),
+                    ..self
+                });
+            }
+        }
+        Err(FailureKind::ConnectionLost)
+    }
+}
+
+/// The head of one attempt of a request.
+fn attempt_head(request: &RelayRequest, label: &AttemptLabel) -> RequestHead {
+    let mut head = RequestHead::default();
+    head.method = request.method.clone();
+    head.uri = request.target.clone();
+    head.headers = request.headers.clone();
+    let deadline = label.remaining.as_millis() as u64;
+    insert_number(&mut head, HeaderNames::DEADLINE, deadline);
+    insert_number(&mut head, HeaderNames::REQUEST_ID, label.id);
+    insert_number(&mut head, HeaderNames::ATTEMPT, u64::from(label.retry));
+    head
 }
 
 /// Whether the end of an answer can be told from a cut.
@@ -169,14 +291,38 @@
 /// its connection; both would pass a cut answer off as whole. Of an answer with both a length and
 /// chunks the codec reads the chunks, and the caller would be given as many bytes as the length says.
 fn is_bounded(head: &ResponseHead, method: &actix_http::Method) -> bool {
-    let bodiless = matches!(head.status.as_u16(), 204 | 304) || *method == actix_http::Method::HEAD;
-    let lengthy = head.headers.contains_key("content-length");
-    let coding = head
-        .headers
-        .get("transfer-encoding")
-        .and_then(|value| value.to_str().ok());
-    let chunked = coding.is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"));
-    bodiless || lengthy != chunked
+    AnswerFraming::of(head, method) == AnswerFraming::Bounded
+}
+
+/// How the end of an answer is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerFraming {
+    /// By its length or its last chunk.
+    Bounded,
+    /// By the end of its connection.
+    UntilClose,
+    /// By a length and by chunks at once, which cannot both be believed.
+    Contradictory,
+}
+
+impl AnswerFraming {
+    /// The framing that the head of an answer to a request with `method` announces.
+    pub fn of(head: &ResponseHead, method: &actix_http::Method) -> Self {
+        let bodiless =
+            matches!(head.status.as_u16(), 204 | 304) || *method == actix_http::Method::HEAD;
+        let lengthy = head.headers.contains_key("content-length");
+        let coding = head
+            .headers
+            .get("transfer-encoding")
+            .and_then(|value| value.to_str().ok());
+        let chunked = coding.is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"));
+        match (lengthy, chunked) {
+            _ if bodiless => Self::Bounded,
+            (true, true) => Self::Contradictory,
+            (false, false) => Self::UntilClose,
+            _ => Self::Bounded,
+        }
+    }
 }
 
 /// Sets a header to a number.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,12 +18,12 @@
 mod transport;
 
 pub use body::{BodyError, RelayBody};
-pub use connection::{ConnectionOptions, ServerConnection};
+pub use connection::{AnswerFraming, ConnectionOptions, ServerConnection};
 pub use failure::{AttemptFailure, FailureKind, RelayFailure};
 pub use plan::{AttemptFacts, NextStep, next_step};
-pub use pool::ConnectionPool;
+pub use pool::{ConnectionPlace, ConnectionPool};
 pub use relay::{AttemptHold, RelayAnswer, RelayLoop, RetrySource};
 pub use request::{BodyWatch, RelayRequest};
 pub use transport::{
-    AnswerBody, AttemptPlan, HttpTransport, ServerAnswer, ServerTransport, read_whole,
+    AnswerBody, AttemptPlan, HttpTransport, ServerAnswer, ServerTransport, announced_size, read_whole,
 };
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -83,7 +83,7 @@
     ///
     /// An idle connection that is still quiet comes with it unless `fresh` is set; an idle one is
     /// closed where a fresh one would exceed the share.
-    pub(crate) fn reserve(
+    pub fn reserve(
         &self,
         address: SocketAddr,
         fresh: bool,
@@ -152,7 +152,7 @@
 
 /// A reserved place; given back when dropped.
 #[derive(Debug)]
-pub(crate) struct ConnectionPlace {
+pub struct ConnectionPlace {
     pool: ConnectionPool,
     address: SocketAddr,
 }
@@ -160,7 +160,7 @@
 impl ConnectionPlace {
     /// Gives the place back together with a connection that may carry another request; the
     /// connection is closed if it is beyond a share that became smaller.
-    pub(crate) fn keep(self, mut connection: ServerConnection, now: Moment) {
+    pub fn keep(self, mut connection: ServerConnection, now: Moment) {
         connection.idle_since = Some(now);
         let share = self.pool.share(self.address);
         let mut entries = self.pool.state.entries.borrow_mut();
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -206,7 +206,7 @@
 }
 
 /// The size that a head announces.
-fn announced_size(head: &ResponseHead, has_body: bool) -> BodySize {
+pub fn announced_size(head: &ResponseHead, has_body: bool) -> BodySize {
     if !has_body {
         return BodySize::Sized(0);
     }
