Give up lapsed server rows within three seconds of the store's return

A gate cut from the store kept a server whose row had gone meanwhile for 2.2 s after its first read, and that read came up to 1.2 s after the cut had healed; the platform counts the host as in touch after 3 s. Ruled out: a late row of the same run (test case). Change: the pause after failed reads is at most 0.4 s, the time to come back 2.1 s, and lapsed rows end also while the store does not answer.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use actix_http::header::{RETRY_AFTER, HeaderValue};
+use actix_http::header::{HeaderValue, RETRY_AFTER};
 use actix_http::{Response, StatusCode};
 use bytes::Bytes;
 use strum::{Display, IntoStaticStr};
--- a/crates/edge/src/ask.rs
+++ b/crates/edge/src/ask.rs
@@ -64,7 +64,7 @@
         let (round, key, path) = (Rc::clone(&round), *key, path.clone());
         actix_rt::spawn(async move {
             let asked = timeout(ANSWER_TIME, ask_one(&core, &server, path)).await;
-            take_result(&core, &service, key, asked.unwrap_or(AskResult::Silent));
+            take_result(&core, &service, key, &asked.unwrap_or(AskResult::Silent));
             round.open.set(round.open.get() - 1);
             if round.open.get() == 0 {
                 round.done.notify_one();
@@ -82,14 +82,14 @@
     core: &EdgeCore<W, S>,
     service: &ServiceState,
     key: ServerKey,
-    result: AskResult,
+    result: &AskResult,
 ) {
     let now = core.clock.now();
     let mut board = service.board.borrow_mut();
     match result {
         AskResult::Load(sample) => {
             service.note_told(true);
-            board.note_load(key, sample, now);
+            board.note_load(key, *sample, now);
         }
         AskResult::NoLoad => service.note_told(false),
         AskResult::Silent => board.note_silent(key, now),
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -43,7 +43,7 @@
     /// All of it.
     Whole(Bytes),
     /// Still to come.
-    Streamed(RelayBody),
+    Streamed(Box<RelayBody>),
 }
 
 /// Why a send brought no answer for the caller.
@@ -239,7 +239,7 @@
     let limit = request.deadline.since(core.clock.now());
     let mut body = RelayBody::new(connection, place, reusable, size, limit, None);
     if !matches!(size, BodySize::Sized(length) if length <= WHOLE_BODY_LIMIT) {
-        let body = AnswerBytes::Streamed(body);
+        let body = AnswerBytes::Streamed(Box::new(body));
         return Ok(EdgeAnswer { head, body });
     }
     let whole = read_whole(&mut body).await;
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -16,14 +16,14 @@
     /// All of it; `None` once taken.
     Whole(Option<Bytes>, u64),
     /// Passed on as it comes from the server.
-    Streamed(Box<StreamedBody>),
+    Streamed(StreamedBody),
 }
 
 /// A body that comes from a server.
 #[derive(Debug)]
 pub(crate) struct StreamedBody {
     /// The server's body.
-    pub(crate) body: RelayBody,
+    pub(crate) body: Box<RelayBody>,
     /// The send that it answers.
     pub(crate) hold: SendHold,
 }
--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -12,8 +12,9 @@
 
 use crate::{FeedPage, FeedValue, ServerRecord};
 
-/// Time after the store's return in which living servers write their rows again.
-const RETURN_TIME: Duration = Duration::from_millis(2_200);
+/// Time after the store's return in which living servers write their rows again, a little over the two
+/// seconds that the platform names.
+const RETURN_TIME: Duration = Duration::from_millis(2_100);
 
 /// Heartbeats of silence after which the store drops a row.
 const LAPSE_HEARTBEATS: u32 = 3;
@@ -73,7 +74,10 @@
     pub fn apply(&mut self, page: FeedPage<ServerRecord>, now: Moment) -> CatalogNews {
         // Rows can lapse only in a span without reads that is longer than a row lives.
         let life = self.heartbeat * LAPSE_HEARTBEATS;
-        if self.read_at.is_some_and(|at| now.since(at) + self.heartbeat > life) {
+        if self
+            .read_at
+            .is_some_and(|at| now.since(at) + self.heartbeat > life)
+        {
             self.returning_until = now + RETURN_TIME;
         }
         self.read_at = Some(now);
@@ -130,7 +134,7 @@
         }
         if was_usable && record.draining {
             news.dropped.push(Arc::clone(&key));
-        } else if !record.draining && !(was_usable && same_run) {
+        } else if !(record.draining || was_usable && same_run) {
             news.listed.push(Arc::clone(&key));
         }
         let entry = CatalogEntry {
@@ -171,12 +175,7 @@
     }
 
     /// Takes the rows that a whole page lacks for ended.
-    fn drop_missing(
-        &mut self,
-        page: &FeedPage<ServerRecord>,
-        now: Moment,
-        news: &mut CatalogNews,
-    ) {
+    fn drop_missing(&mut self, page: &FeedPage<ServerRecord>, now: Moment, news: &mut CatalogNews) {
         let missing = self.entries.keys();
         let missing = missing.filter(|key| !page.changes.iter().any(|change| change.key == **key));
         let missing: Vec<_> = missing.cloned().collect();
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -97,6 +97,12 @@
     let mut health = StoreHealth::new(&core.log, "servers");
     let mut cursor = None;
     loop {
+        // Rows that lapsed are given up in time, whether or not the store answers.
+        let mut news = CatalogNews::default();
+        core.catalog
+            .borrow_mut()
+            .expire(core.clock.now(), &mut news);
+        take_news(&core, news);
         let read = core.store.read_servers(cursor, Duration::ZERO).await;
         let now = core.clock.now();
         let mut pause = core.settings().bounds.server_drain * SERVER_PERIOD_PERCENT / 100;
@@ -114,9 +120,6 @@
             }
             Err(error) => {
                 pause = health.failed(&error);
-                let mut news = CatalogNews::default();
-                core.catalog.borrow_mut().expire(now, &mut news);
-                take_news(&core, news);
             }
         }
         if let Some(expiry) = core.catalog.borrow().next_expiry() {
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::sync::Arc;
 
 use actix_http::ServiceConfig;
 use foldhash::{HashMap, HashMapExt};
@@ -161,7 +162,7 @@
         for (record, cold_until) in catalog.usable() {
             let list = lists.entry(record.service.clone()).or_default();
             list.push(BoardServer {
-                instance: record.instance.clone(),
+                instance: Arc::clone(&record.instance),
                 address: record.address,
                 near: record.data_centre == settings.data_centre,
                 slots: record.slots,
--- a/crates/edge/src/entries.rs
+++ b/crates/edge/src/entries.rs
@@ -19,10 +19,7 @@
 ///
 /// Gates of the own data centre are known by their datagrams; those of others only by the store. So a
 /// gate that is asked from another data centre names those that the store told.
-pub(crate) fn entry_answer<W, S>(
-    core: &EdgeCore<W, S>,
-    near: &DataCentre,
-) -> Option<EntryAnswer> {
+pub(crate) fn entry_answer<W, S>(core: &EdgeCore<W, S>, near: &DataCentre) -> Option<EntryAnswer> {
     let settings = core.settings();
     let now = core.clock.now();
     let gates = core.gates.borrow();
@@ -30,7 +27,10 @@
     let contacts = core.contacts.borrow();
     let mut addresses: Vec<SocketAddr> = Vec::new();
     if *near == settings.data_centre {
-        let live = handed.live.iter().filter(|gate| gate.state == GateState::Live);
+        let live = handed
+            .live
+            .iter()
+            .filter(|gate| gate.state == GateState::Live);
         let own = settings.listen_callers;
         let live = live.filter(|gate| gate.callers != own || core.is_ready());
         addresses.extend(live.map(|gate| gate.callers));
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -156,7 +156,11 @@
         }
         core.contacts.borrow_mut().forget(now);
         let sent = say_hello(&core, &socket).await;
-        let period = if sent == 0 { ALONE_PERIOD } else { HELLO_PERIOD };
+        let period = if sent == 0 {
+            ALONE_PERIOD
+        } else {
+            HELLO_PERIOD
+        };
         sleep(period.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -32,3 +32,4 @@
 };
 pub use program::run;
 pub use settings::{EdgeBounds, EdgeSettings};
+pub use store_health::longest_read_pause;
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -77,10 +77,12 @@
     let host = read_host(request).map_err(|_| OwnAnswer::BadRequest)?;
     let routes = core.routes().ok_or(OwnAnswer::NoConfig)?;
     let limit = routes.limits().body_bytes;
-    let body = read_body(request, limit).await.map_err(|fault| match fault {
-        RequestFault::BodyTooLong => OwnAnswer::BodyTooLong,
-        RequestFault::NoHost | RequestFault::BadBody => OwnAnswer::BadRequest,
-    })?;
+    let body = read_body(request, limit)
+        .await
+        .map_err(|fault| match fault {
+            RequestFault::BodyTooLong => OwnAnswer::BodyTooLong,
+            RequestFault::NoHost | RequestFault::BadBody => OwnAnswer::BadRequest,
+        })?;
     // A configuration that came with the body is the one to follow.
     let routes = core.routes().unwrap_or(routes);
     let route = routes.find(&host, request.path()).map(Rc::clone);
@@ -234,17 +236,18 @@
         let round = ask_round(core, service, scope, path).await;
         asked.extend(round);
         asked.retain(|key| !tried.contains(key));
-        let now = core.clock.now();
-        let mut board = service.board.borrow_mut();
-        let facts = MoveFacts {
-            best: board.best(&asked, work, since, now),
-            work,
-            objective: rule.objective,
-            held: now.since(request.read_at),
-            time_left: request.answer_by.since(now),
-            asked_far: scope == AskScope::Far || !board.has_any(AskScope::Far),
+        let facts = {
+            let now = core.clock.now();
+            let mut board = service.board.borrow_mut();
+            MoveFacts {
+                best: board.best(&asked, work, since, now),
+                work,
+                objective: rule.objective,
+                held: now.since(request.read_at),
+                time_left: request.answer_by.since(now),
+                asked_far: scope == AskScope::Far || !board.has_any(AskScope::Far),
+            }
         };
-        drop(board);
         match next_move(&facts) {
             NextMove::Send(placement) => return Ok(placement),
             NextMove::AskFar => scope = AskScope::Far,
@@ -327,7 +330,7 @@
     }
     let body = match answer.body {
         AnswerBytes::Whole(bytes) => EdgeBody::whole(bytes),
-        AnswerBytes::Streamed(body) => EdgeBody::Streamed(Box::new(StreamedBody { body, hold })),
+        AnswerBytes::Streamed(body) => EdgeBody::Streamed(StreamedBody { body, hold }),
     };
     let mut response = Response::with_body(status, body);
     *response.headers_mut() = end_to_end(&answer.head.headers);
--- a/crates/edge/src/store_health.rs
+++ b/crates/edge/src/store_health.rs
@@ -9,8 +9,27 @@
 /// First pause after a failed read.
 const FIRST_PAUSE: Duration = Duration::from_millis(200);
 
-/// Longest pause after failed reads; half of the time in which a change has to be in force.
-const MAX_PAUSE: Duration = Duration::from_millis(1_000);
+/// Longest pause after failed reads. A gate that regains the store has to know within three seconds
+/// which servers have left, and gives those whose rows lapsed two seconds of them.
+const MAX_PAUSE: Duration = Duration::from_millis(400);
+
+/// Part of the longest pause that is made at least; the rest is drawn, so that gates do not call at once.
+const SHORTEST_PART: f64 = 0.7;
+
+/// Doublings of the first pause at most.
+const MAX_DOUBLINGS: u32 = 3;
+
+/// Longest pause after some failed reads in a row.
+///
+/// ```
+/// use ggs_edge::longest_read_pause;
+///
+/// assert!(longest_read_pause(1) < longest_read_pause(9));
+/// ```
+pub fn longest_read_pause(failures: u32) -> Duration {
+    let doublings = failures.saturating_sub(1).min(MAX_DOUBLINGS);
+    (FIRST_PAUSE * 2_u32.pow(doublings)).min(MAX_PAUSE)
+}
 
 /// Failures of the reads of one table.
 #[derive(Debug)]
@@ -48,7 +67,6 @@
             self.log.emit(LogEvent::PlatformFailed, message, pairs);
         }
         self.failures += 1;
-        let pause = FIRST_PAUSE * 2_u32.pow(self.failures.min(4) - 1);
-        pause.min(MAX_PAUSE).mul_f64(rand::random_range(0.8..1.2))
+        longest_read_pause(self.failures).mul_f64(rand::random_range(SHORTEST_PART..1.0))
     }
 }
--- /dev/null
+++ b/crates/edge/tests/catalog.rs
@@ -0,0 +1,186 @@
+//! Which servers may get requests, from feeds that lag, lapse, lie and are cut.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ggs_edge::{
+    CatalogNews, FeedChange, FeedCursor, FeedPage, FeedValue, ServerCatalog, ServerRecord,
+    longest_read_pause,
+};
+use ggs_model::Moment;
+
+/// Time between two writes of a server.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
+
+/// Time within which a gate that regains the store must know which servers have left: the platform
+/// counts a host as in touch three seconds after its disruption.
+const IN_TOUCH_AFTER: u64 = 3_000;
+
+/// Failures in a row after which the longest pause between reads is reached.
+const MANY_FAILURES: u32 = 30;
+
+/// A server's row.
+fn row(born: u64, draining: bool) -> FeedValue<ServerRecord> {
+    FeedValue::Present(ServerRecord {
+        instance: Arc::from("i-1"),
+        born: Some(born),
+        service: "ledger".into(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        data_centre: "dc-1".into(),
+        slots: 3,
+        draining,
+        cold_left: Duration::ZERO,
+    })
+}
+
+/// What the store answers at a moment, in milliseconds.
+struct ReadStep {
+    at: u64,
+    whole: bool,
+    value: Option<FeedValue<ServerRecord>>,
+}
+
+/// Longest time from the store's return to the next read, in milliseconds.
+fn longest_pause() -> u64 {
+    let pauses = (1..MANY_FAILURES).map(longest_read_pause);
+    pauses.max().unwrap().as_millis() as u64
+}
+
+/// A read of changes.
+fn read(at: u64, value: FeedValue<ServerRecord>) -> ReadStep {
+    ReadStep {
+        at,
+        whole: false,
+        value: Some(value),
+    }
+}
+
+/// A read of the whole table, which is empty.
+fn read_empty(at: u64) -> ReadStep {
+    ReadStep {
+        at,
+        whole: true,
+        value: None,
+    }
+}
+
+/// Reads, and whether the server may get requests at a moment after them.
+struct CatalogCase {
+    name: &'static str,
+    steps: Vec<ReadStep>,
+    asked_at: u64,
+    usable: bool,
+}
+
+/// Feeds and what must follow from them.
+fn catalog_cases() -> Vec<CatalogCase> {
+    vec![
+        CatalogCase {
+            name: "listed",
+            steps: vec![read(0, row(1, false))],
+            asked_at: 0,
+            usable: true,
+        },
+        CatalogCase {
+            name: "draining",
+            steps: vec![read(0, row(1, false)), read(1_000, row(1, true))],
+            asked_at: 1_000,
+            usable: false,
+        },
+        CatalogCase {
+            name: "a late word of the same run changes nothing",
+            steps: vec![read(0, row(1, true)), read(1_000, row(1, false))],
+            asked_at: 1_000,
+            usable: false,
+        },
+        CatalogCase {
+            name: "a new run under the same name is a new server",
+            steps: vec![read(0, row(1, true)), read(1_000, row(2, false))],
+            asked_at: 1_000,
+            usable: true,
+        },
+        CatalogCase {
+            name: "removed while the feed is followed",
+            steps: vec![read(0, row(1, false)), read(1_000, FeedValue::Removed)],
+            asked_at: 1_000,
+            usable: false,
+        },
+        CatalogCase {
+            name: "missing in a whole read while the feed is followed",
+            steps: vec![read(0, row(1, false)), read_empty(1_000)],
+            asked_at: 1_000,
+            usable: false,
+        },
+        CatalogCase {
+            name: "lapsed while the store was away",
+            steps: vec![read(0, row(1, false)), read(6_000, FeedValue::Removed)],
+            asked_at: 7_900,
+            usable: true,
+        },
+        CatalogCase {
+            name: "lapsed and back",
+            steps: vec![
+                read(0, row(1, false)),
+                read(6_000, FeedValue::Removed),
+                read(7_500, row(1, false)),
+            ],
+            asked_at: 9_500,
+            usable: true,
+        },
+        CatalogCase {
+            name: "still missing when the gate is in touch again",
+            steps: vec![
+                read(0, row(1, false)),
+                read(6_000 + longest_pause(), FeedValue::Removed),
+            ],
+            asked_at: 6_000 + IN_TOUCH_AFTER,
+            usable: false,
+        },
+        CatalogCase {
+            name: "leaving before the store was away",
+            steps: vec![
+                read(0, row(1, false)),
+                read(500, row(1, true)),
+                read(6_000, FeedValue::Removed),
+            ],
+            asked_at: 6_000,
+            usable: false,
+        },
+        CatalogCase {
+            name: "a row that cannot be read names no server",
+            steps: vec![
+                read(0, row(1, false)),
+                read(1_000, FeedValue::Unreadable("slots: missing".to_owned())),
+            ],
+            asked_at: 1_000,
+            usable: false,
+        },
+    ]
+}
+
+#[test]
+fn leaving_servers_are_dropped_and_lapsed_ones_kept_for_a_moment() {
+    for case in catalog_cases() {
+        let mut catalog = ServerCatalog::new(HEARTBEAT);
+        let mut cursor = 0;
+        for step in case.steps {
+            cursor += 1;
+            let key: Arc<str> = Arc::from("i-1");
+            let changes = step.value.map(|value| FeedChange { key, value });
+            let page = FeedPage {
+                whole: step.whole,
+                changes: changes.into_iter().collect(),
+                cursor: FeedCursor(cursor),
+            };
+            catalog.apply(page, Moment::from_millis(step.at));
+        }
+        let mut news = CatalogNews::default();
+        catalog.expire(Moment::from_millis(case.asked_at), &mut news);
+        assert_eq!(
+            catalog.usable().next().is_some(),
+            case.usable,
+            "{}",
+            case.name
+        );
+    }
+}
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -97,10 +97,9 @@
             .framed
             .map_codec(ClientPayloadCodec::into_message_codec);
         let now: Moment = BootClock.now();
-        source.place.keep(
-            ServerConnection::from_framed(framed),
-            now,
-        );
+        source
+            .place
+            .keep(ServerConnection::from_framed(framed), now);
     }
 
     /// Ends the body early and closes its connection.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,5 +25,6 @@
 pub use relay::{AttemptHold, RelayAnswer, RelayLoop, RetrySource};
 pub use request::{BodyWatch, RelayRequest};
 pub use transport::{
-    AnswerBody, AttemptPlan, HttpTransport, ServerAnswer, ServerTransport, announced_size, read_whole,
+    AnswerBody, AttemptPlan, HttpTransport, ServerAnswer, ServerTransport, announced_size,
+    read_whole,
 };
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -57,13 +57,41 @@
         rule("b.example", "/"),
     ]);
     let cases = [
-        LookupCase { host: "a.example", path: "/x/1", wins: Some("/x/") },
-        LookupCase { host: "a.example", path: "/x/y/1", wins: Some("/x/y/") },
-        LookupCase { host: "a.example", path: "/x/y", wins: Some("/x/") },
-        LookupCase { host: "A.Example:80", path: "/x/", wins: Some("/x/") },
-        LookupCase { host: "a.example", path: "/xy/1", wins: None },
-        LookupCase { host: "b.example", path: "/x/y/1", wins: Some("/") },
-        LookupCase { host: "c.example", path: "/x/1", wins: None },
+        LookupCase {
+            host: "a.example",
+            path: "/x/1",
+            wins: Some("/x/"),
+        },
+        LookupCase {
+            host: "a.example",
+            path: "/x/y/1",
+            wins: Some("/x/y/"),
+        },
+        LookupCase {
+            host: "a.example",
+            path: "/x/y",
+            wins: Some("/x/"),
+        },
+        LookupCase {
+            host: "A.Example:80",
+            path: "/x/",
+            wins: Some("/x/"),
+        },
+        LookupCase {
+            host: "a.example",
+            path: "/xy/1",
+            wins: None,
+        },
+        LookupCase {
+            host: "b.example",
+            path: "/x/y/1",
+            wins: Some("/"),
+        },
+        LookupCase {
+            host: "c.example",
+            path: "/x/1",
+            wins: None,
+        },
     ];
     for case in cases {
         let found = table.find(case.host, case.path);
