Place by loads that are known before asking again

Ruled out: queueing at servers. Change: loads that come with answers count too, a load stays of use for a quarter of a request's work, all servers with a fresh load are weighed, and only stale ones are asked. A near server with a free slot and its usual pace is taken unasked.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -7,7 +7,7 @@
 use actix_http::header::CONTENT_ENCODING;
 use actix_http::{Method, ResponseHead, StatusCode};
 use bytes::Bytes;
-use ggs_model::{Clock, RunVerdict};
+use ggs_model::{BootClock, Clock, RunVerdict};
 use ggs_place::{BoardServer, SendOutcome, ServerKey};
 use ggs_relay::{
     AnswerFraming, FailureKind, RelayBody, ServerConnection, announced_size, read_whole,
@@ -107,7 +107,7 @@
 impl SendHold {
     /// Counts a send that starts.
     fn start(service: &Rc<ServiceState>, server: ServerKey) -> Self {
-        service.board.borrow_mut().start(server);
+        service.board.borrow_mut().start(server, BootClock.now());
         Self {
             service: Rc::clone(service),
             server,
@@ -123,7 +123,7 @@
 
 impl Drop for SendHold {
     fn drop(&mut self) {
-        let now = ggs_model::BootClock.now();
+        let now = BootClock.now();
         let mut board = self.service.board.borrow_mut();
         board.end(self.server, self.outcome.get(), now);
     }
@@ -156,7 +156,7 @@
     let server = service.board.borrow().server(key).cloned();
     let server = server.ok_or(SendFailure::unsent(FailureKind::NoServer))?;
     let hold = SendHold::start(service, key);
-    let answer = exchange(core, &server, request, stage).await;
+    let answer = exchange(core, service, key, &server, request, stage).await;
     match answer {
         Ok(answer) => {
             let failed = answer.head.status.is_server_error();
@@ -181,6 +181,8 @@
 /// Sends and reads without a limit on time.
 async fn exchange<W, S>(
     core: &EdgeCore<W, S>,
+    service: &ServiceState,
+    key: ServerKey,
     server: &BoardServer,
     request: &EdgeRequest,
     stage: &SendStage,
@@ -208,6 +210,10 @@
         .await
         .map_err(|_| SendFailure::sent(FailureKind::ConnectionLost))?;
     let (connection, head) = read_own_head(connection, request, names).await?;
+    if let Some(sample) = core.wire.read_load(&head.headers) {
+        let now = core.clock.now();
+        service.board.borrow_mut().note_load(key, sample, now);
+    }
     let framing = AnswerFraming::of(&head, &request.method);
     let refused = head.headers.contains_key(&names.not_run);
     if let Some(failure) = check_answer(&head, framing, names) {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -7,7 +7,9 @@
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode, Uri};
 use ggs_model::{Clock, Moment, RunVerdict};
 use ggs_observe::LogEvent;
-use ggs_place::{AskScope, MoveFacts, NextMove, Placement, ServerKey, next_move};
+use ggs_place::{
+    AskScope, AskStage, MoveFacts, NextMove, PlaceSearch, Placement, ServerKey, next_move,
+};
 use ggs_relay::FailureKind;
 use ggs_route::{RepeatRule, RouteTable};
 use tokio::time::{sleep, timeout};
@@ -21,14 +23,18 @@
 use crate::request::{EdgeRequest, RequestFault, end_to_end, read_body};
 use crate::service::ServiceState;
 
-/// Servers that are asked in the gate's data centre.
-const NEAR_ASKS: usize = 8;
+/// Servers that are asked at once.
+const MAX_ASKS: usize = 8;
 
-/// Servers that are asked in other data centres.
-const FAR_ASKS: usize = 8;
+/// Part of a request's work for which a load that was told stays of use, one in this many.
+const FRESH_PARTS: u32 = 4;
 
-/// Servers that are considered when none can be asked.
-const BLIND_CHOICES: usize = 4;
+/// Shortest time for which a load that was told stays of use.
+const MIN_FRESH: Duration = Duration::from_millis(8);
+
+/// Longest time for which a load that was told stays of use; the pace of servers changes within
+/// hundreds of milliseconds.
+const MAX_FRESH: Duration = Duration::from_millis(40);
 
 /// Sends of one request at most, those included that reached no server.
 const MAX_SENDS: usize = 6;
@@ -225,75 +231,86 @@
 {
     let rule = request.route.rule();
     let work = service.work(rule).mean();
-    let mut asked: Vec<ServerKey> = Vec::new();
-    let mut since = core.clock.now();
-    let mut scope = if service.board.borrow().has_any(AskScope::Near) {
-        AskScope::Near
-    } else {
-        AskScope::Far
-    };
+    let fresh = (work / FRESH_PARTS).clamp(MIN_FRESH, MAX_FRESH);
+    let mut stage = AskStage::Known;
     loop {
-        let round = ask_round(core, service, scope, path).await;
-        asked.extend(round);
-        asked.retain(|key| !tried.contains(key));
-        let facts = {
-            let now = core.clock.now();
-            let mut board = service.board.borrow_mut();
-            MoveFacts {
-                best: board.best(&asked, work, since, now),
-                work,
-                objective: rule.objective,
-                held: now.since(request.read_at),
-                time_left: request.answer_by.since(now),
-                asked_far: scope == AskScope::Far || !board.has_any(AskScope::Far),
-            }
+        let now = core.clock.now();
+        let search = PlaceSearch {
+            work,
+            since: now - fresh,
+            tried,
+            now,
+        };
+        let facts = MoveFacts {
+            best: best_known(service, stage, &search),
+            work,
+            objective: rule.objective,
+            held: now.since(request.read_at),
+            time_left: request.answer_by.since(now),
+            stage,
         };
         match next_move(&facts) {
             NextMove::Send(placement) => return Ok(placement),
-            NextMove::AskFar => scope = AskScope::Far,
+            NextMove::AskNear => {
+                ask_stale(core, service, AskScope::Near, path, now - fresh).await;
+                stage = AskStage::Near;
+            }
+            NextMove::AskFar => {
+                ask_stale(core, service, AskScope::Far, path, now - fresh).await;
+                stage = AskStage::All;
+            }
             NextMove::Wait(pause) => {
                 sleep(pause).await;
-                asked.clear();
-                since = core.clock.now();
-                if service.board.borrow().has_any(AskScope::Near) {
-                    scope = AskScope::Near;
-                }
+                stage = AskStage::Known;
             }
             NextMove::Refuse(retry_after) => return Err(retry_after),
         }
     }
 }
 
-/// Asks servers of a scope; yields those to choose from.
-async fn ask_round<W, S>(
+/// The best server at a stage of asking; far ones count once they were asked.
+fn best_known(
+    service: &ServiceState,
+    stage: AskStage,
+    search: &PlaceSearch<'_>,
+) -> Option<Placement> {
+    let mut board = service.board.borrow_mut();
+    let near = board.best(AskScope::Near, search);
+    if stage < AskStage::All {
+        return near;
+    }
+    let far = board.best(AskScope::Far, search);
+    let told = near.into_iter().chain(far);
+    let told = told.min_by_key(|placement| placement.expected);
+    if told.is_some() {
+        return told;
+    }
+    let blind = board.blind(AskScope::Near, search);
+    blind.or_else(|| board.blind(AskScope::Far, search))
+}
+
+/// Asks servers of a scope whose load was not told since `since`.
+async fn ask_stale<W, S>(
     core: &Rc<EdgeCore<W, S>>,
     service: &Rc<ServiceState>,
     scope: AskScope,
     path: Option<&Uri>,
-) -> Vec<ServerKey>
-where
+    since: Moment,
+) where
     W: EdgeWire,
     S: 'static,
 {
-    let now = core.clock.now();
-    let wanted = match scope {
-        AskScope::Near => NEAR_ASKS,
-        AskScope::Far => FAR_ASKS,
-    };
-    let path = path.filter(|_| service.tells_load());
-    let mut plan = service.board.borrow_mut().ask_plan(wanted, scope, now);
-    let Some(path) = path else {
-        plan.truncate(BLIND_CHOICES);
-        return plan;
+    let Some(path) = path.filter(|_| service.tells_load()) else {
+        return;
     };
+    let now = core.clock.now();
+    let mut plan = service
+        .board
+        .borrow_mut()
+        .stale(MAX_ASKS, scope, since, now);
     let granted = core.asks.borrow_mut().take(plan.len(), now);
-    if granted == 0 {
-        plan.truncate(BLIND_CHOICES);
-        return plan;
-    }
     plan.truncate(granted);
     ask::ask(core, service, &plan, path).await;
-    plan
 }
 
 /// Learns from an answer how much work its route is.
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -1,6 +1,7 @@
 //! The servers of one service as one gate sees them.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -34,6 +35,18 @@
 /// How much longer work takes on a server that has just started, less one.
 const COLD_WEIGHT: f64 = 1.0;
 
+/// Servers that are weighed when none tells its load.
+const BLIND_CHOICES: usize = 4;
+
+/// Factor by which a rank varies.
+const RANK_SPREAD: Range<f64> = 0.95..1.05;
+
+/// Time that a request takes to a server and its load back, at most, within a region.
+const TRANSIT_TIME: Duration = Duration::from_millis(3);
+
+/// Sends that are remembered beyond a sample at most.
+const MAX_SENDS: usize = 64;
+
 /// Time that a crossing between data centres is ranked at, beyond its delay: bytes between them are
 /// dear.
 const CROSSING_COST: Duration = Duration::from_millis(5);
@@ -67,6 +80,19 @@
     Far,
 }
 
+/// What a server is searched for.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceSearch<'a> {
+    /// Work of the request on a free server of the usual pace.
+    pub work: Duration,
+    /// Loads that were told earlier are too old.
+    pub since: Moment,
+    /// Servers that the request was sent to before.
+    pub tried: &'a [ServerKey],
+    /// The present moment.
+    pub now: Moment,
+}
+
 /// A server that could take a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Placement {
@@ -101,8 +127,8 @@
 struct BoardEntry {
     server: BoardServer,
     sample: Option<(LoadSample, Moment)>,
-    /// Own sends since the sample was taken.
-    sent_since: u32,
+    /// Sends of this gate and its neighbours that the sample does not count.
+    sends: Vec<Moment>,
     in_flight: u32,
     failure_rate: f64,
     failure_at: Moment,
@@ -115,7 +141,7 @@
         Self {
             server,
             sample: None,
-            sent_since: 0,
+            sends: Vec::new(),
             in_flight: 0,
             failure_rate: 0.0,
             failure_at: now,
@@ -129,19 +155,23 @@
         self.failure_rate * 0.5_f64.powf(idle / FAILURE_HALF_LIFE.as_secs_f64())
     }
 
-    /// The load to reckon with: what the server told at or after `since`, or the gate's own part.
-    fn load(&self, since: Moment) -> LoadSample {
-        match self.sample {
-            Some((mut sample, at)) if at >= since => {
-                sample.running += self.sent_since;
-                sample
-            }
-            _ => LoadSample {
-                running: self.in_flight,
-                waiting: 0,
-                slots: self.server.slots,
-                pace_percent: 100,
-            },
+    /// The load that the server told at or after `since`, with what was sent to it meanwhile.
+    fn told_load(&self, since: Moment) -> Option<LoadSample> {
+        let (mut sample, at) = self.sample?;
+        if at < since {
+            return None;
+        }
+        sample.running += self.sends.len() as u32;
+        Some(sample)
+    }
+
+    /// The gate's own part of the load, for servers that tell none.
+    fn own_load(&self) -> LoadSample {
+        LoadSample {
+            running: self.in_flight,
+            waiting: 0,
+            slots: self.server.slots,
+            pace_percent: 100,
         }
     }
 }
@@ -151,7 +181,7 @@
 /// ```
 /// use std::time::Duration;
 /// use ggs_model::Moment;
-/// use ggs_place::{AskScope, BoardServer, LoadSample, PlaceBoard};
+/// use ggs_place::{AskScope, BoardServer, LoadSample, PlaceBoard, PlaceSearch};
 ///
 /// let now = Moment::ZERO;
 /// let mut board = PlaceBoard::new(1);
@@ -163,12 +193,13 @@
 ///     cold_until: None,
 /// };
 /// board.replace(vec![server("a"), server("b")], now);
-/// let asked = board.ask_plan(2, AskScope::Near, now);
+/// let asked = board.stale(2, AskScope::Near, now, now);
 /// let free = LoadSample { running: 0, waiting: 0, slots: 3, pace_percent: 100 };
 /// let slow = LoadSample { pace_percent: 700, ..free };
 /// board.note_load(asked[0], slow, now);
 /// board.note_load(asked[1], free, now);
-/// let best = board.best(&asked, Duration::from_millis(50), now, now).unwrap();
+/// let search = PlaceSearch { work: Duration::from_millis(50), since: now, tried: &[], now };
+/// let best = board.best(AskScope::Near, &search).unwrap();
 /// assert_eq!(best.server, asked[1]);
 /// ```
 #[derive(Clone, Debug)]
@@ -244,12 +275,22 @@
         self.entries.values().map(|entry| &entry.server)
     }
 
-    /// Draws up to `count` servers to ask; those that could not be reached of late come last.
-    pub fn ask_plan(&mut self, count: usize, scope: AskScope, now: Moment) -> Vec<ServerKey> {
-        let mut keys = self.list(scope).to_vec();
-        let count = count.min(keys.len());
+    /// Draws up to `count` servers that told no load since `since`; those that could not be reached of
+    /// late come last.
+    pub fn stale(
+        &mut self,
+        count: usize,
+        scope: AskScope,
+        since: Moment,
+        now: Moment,
+    ) -> Vec<ServerKey> {
+        let stale = self.list(scope).iter().copied();
+        let stale = stale.filter(|key| {
+            let sample = self.entries[key].sample;
+            sample.is_none_or(|(_, at)| at < since)
+        });
         let usable = |key: &ServerKey| self.entries[key].avoid_until <= now;
-        let (mut plan, mut avoided): (Vec<_>, Vec<_>) = keys.drain(..).partition(usable);
+        let (mut plan, mut avoided): (Vec<_>, Vec<_>) = stale.partition(usable);
         draw(&mut plan, count, &mut self.rng);
         if plan.len() < count {
             draw(&mut avoided, count - plan.len(), &mut self.rng);
@@ -262,7 +303,7 @@
     pub fn note_load(&mut self, key: ServerKey, sample: LoadSample, now: Moment) {
         if let Some(entry) = self.entries.get_mut(&key) {
             entry.sample = Some((sample, now));
-            entry.sent_since = 0;
+            entry.sends.retain(|sent| *sent + TRANSIT_TIME > now);
         }
     }
 
@@ -274,26 +315,42 @@
         }
     }
 
-    /// The server among `asked` that is expected to answer first, by loads told at or after `since`.
+    /// The server of a scope that is expected to answer first, by loads told since the search's limit.
     ///
-    /// Servers whose waiting room this gate would overfill are left out.
-    pub fn best(
+    /// Servers whose waiting room would be overfilled are left out.
+    pub fn best(&mut self, scope: AskScope, search: &PlaceSearch<'_>) -> Option<Placement> {
+        let keys = self.list(scope).to_vec();
+        self.least(&keys, search, |entry| entry.told_load(search.since))
+    }
+
+    /// The best of a few servers by the gate's own part of their load, for services that tell none or
+    /// whose servers could not be asked.
+    pub fn blind(&mut self, scope: AskScope, search: &PlaceSearch<'_>) -> Option<Placement> {
+        let now = search.now;
+        let mut keys = self.list(scope).to_vec();
+        keys.retain(|key| self.entries[key].avoid_until <= now);
+        draw(&mut keys, BLIND_CHOICES, &mut self.rng);
+        self.least(&keys, search, |entry| Some(entry.own_load()))
+    }
+
+    /// The server among `keys` that is expected to answer first.
+    fn least(
         &mut self,
-        asked: &[ServerKey],
-        work: Duration,
-        since: Moment,
-        now: Moment,
+        keys: &[ServerKey],
+        search: &PlaceSearch<'_>,
+        load: impl Fn(&BoardEntry) -> Option<LoadSample>,
     ) -> Option<Placement> {
         let mut best: Option<(f64, Placement)> = None;
-        for key in asked {
+        for key in keys.iter().filter(|key| !search.tried.contains(key)) {
             let Some(entry) = self.entries.get(key) else {
                 continue;
             };
-            let Some((placement, rank)) = place(*key, entry, work, since, now) else {
+            let placed = load(entry).and_then(|load| place(*key, entry, load, search));
+            let Some((placement, rank)) = placed else {
                 continue;
             };
-            // Gates that ask at the same moment should not all send to the same server.
-            let rank = rank * self.rng.random_range(0.95..1.05);
+            // Gates that decide at the same moment should not all send to the same server.
+            let rank = rank * self.rng.random_range(RANK_SPREAD);
             if best.as_ref().is_none_or(|(least, _)| rank < *least) {
                 best = Some((rank, placement));
             }
@@ -302,10 +359,19 @@
     }
 
     /// Notes that a request goes to a server.
-    pub fn start(&mut self, key: ServerKey) {
+    pub fn start(&mut self, key: ServerKey, now: Moment) {
         if let Some(entry) = self.entries.get_mut(&key) {
             entry.in_flight += 1;
-            entry.sent_since += 1;
+        }
+        self.note_sent(key, now);
+    }
+
+    /// Notes a send by this gate or another that the server's last word does not count.
+    pub fn note_sent(&mut self, key: ServerKey, now: Moment) {
+        if let Some(entry) = self.entries.get_mut(&key)
+            && entry.sends.len() < MAX_SENDS
+        {
+            entry.sends.push(now);
         }
     }
 
@@ -353,11 +419,10 @@
 fn place(
     key: ServerKey,
     entry: &BoardEntry,
-    work: Duration,
-    since: Moment,
-    now: Moment,
+    load: LoadSample,
+    search: &PlaceSearch<'_>,
 ) -> Option<(Placement, f64)> {
-    let load = entry.load(since);
+    let now = search.now;
     let slots = load.slots.max(1);
     let ahead = load.ahead(0);
     if ahead > slots * QUEUE_PARTS {
@@ -373,7 +438,7 @@
     } else {
         CROSSING_COST
     };
-    let expected = work.mul_f64(pace * rounds) + crossing;
+    let expected = search.work.mul_f64(pace * rounds) + crossing;
     let rank = expected.as_secs_f64() * (1.0 + entry.failures(now) * FAILURE_WEIGHT);
     let placement = Placement {
         server: key,
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -13,8 +13,10 @@
 mod sample;
 mod work;
 
-pub use board::{AskScope, BoardServer, PlaceBoard, Placement, SendOutcome, ServerKey};
+pub use board::{
+    AskScope, BoardServer, PlaceBoard, PlaceSearch, Placement, SendOutcome, ServerKey,
+};
 pub use budget::AskBudget;
-pub use moves::{MoveFacts, NextMove, next_move};
+pub use moves::{AskStage, MoveFacts, NextMove, next_move};
 pub use sample::LoadSample;
 pub use work::WorkEstimate;
