Let one gate of a data centre read the servers and tell the others

Change: the first live gate by name of those in a data centre that can read the store reads and sends what changed as a datagram; a gate that is not told within 68% of the drain time, or whose list differs by digest, reads itself.

--- a/crates/edge/src/ask.rs
+++ b/crates/edge/src/ask.rs
@@ -84,15 +84,16 @@
     key: ServerKey,
     result: &AskResult,
 ) {
-    let now = core.clock.now();
-    let mut board = service.board.borrow_mut();
     match result {
         AskResult::Load(sample) => {
             service.note_told(true);
-            board.note_load(key, *sample, now);
+            core.learn_load(service, key, *sample);
         }
         AskResult::NoLoad => service.note_told(false),
-        AskResult::Silent => board.note_silent(key, now),
+        AskResult::Silent => {
+            let now = core.clock.now();
+            service.board.borrow_mut().note_silent(key, now);
+        }
     }
 }
 
--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -4,13 +4,15 @@
 //! So rows that are found missing after an outage are kept for a moment, in which living servers write
 //! theirs again.
 
+use std::hash::BuildHasher;
 use std::sync::Arc;
 use std::time::Duration;
 
+use foldhash::quality::FixedState;
 use foldhash::{HashMap, HashMapExt};
 use ggs_model::Moment;
 
-use crate::{FeedPage, FeedValue, ServerRecord};
+use crate::{FeedChange, FeedPage, FeedValue, ServerRecord};
 
 /// Time after the store's return in which living servers write their rows again, a little over the two
 /// seconds that the platform names.
@@ -19,6 +21,9 @@
 /// Heartbeats of silence after which the store drops a row.
 const LAPSE_HEARTBEATS: u32 = 3;
 
+/// Seed of the digest's hash; all gates use the same.
+const DIGEST_SEED: u64 = 1;
+
 /// One server.
 #[derive(Clone, Debug)]
 struct CatalogEntry {
@@ -98,6 +103,33 @@
         news
     }
 
+    /// Whether a change says more than that its server lives.
+    pub fn is_news(&self, change: &FeedChange<ServerRecord>) -> bool {
+        let entry = self.entries.get(&change.key);
+        match &change.value {
+            FeedValue::Present(record) => entry.is_none_or(|entry| {
+                let known = &entry.record;
+                let same = known.born == record.born && known.draining == record.draining;
+                !same || known.address != record.address || entry.lapses_at.is_some()
+            }),
+            FeedValue::Removed => entry.is_some(),
+            FeedValue::Unreadable(cause) => {
+                entry.is_some() || self.unreadable.get(&change.key) != Some(cause)
+            }
+        }
+    }
+
+    /// Digest of the servers whose rows stand; equal lists have equal digests.
+    pub fn digest(&self) -> u64 {
+        let state = FixedState::with_seed(DIGEST_SEED);
+        let standing = self.entries.iter();
+        let standing = standing.filter(|(_, entry)| entry.lapses_at.is_none());
+        standing.fold(0, |digest, (key, entry)| {
+            let record = &entry.record;
+            digest ^ state.hash_one((key, record.born, record.draining, record.address))
+        })
+    }
+
     /// Drops rows that did not come back in time.
     pub fn expire(&mut self, now: Moment, news: &mut CatalogNews) {
         let gone = self.entries.iter();
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -1,4 +1,4 @@
-//! Tasks that follow configurations, servers and settings.
+//! Tasks that follow configurations and settings.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,7 +8,6 @@
 use ggs_route::{RouteConfig, RouteTable};
 use tokio::time::sleep;
 
-use crate::catalog::CatalogNews;
 use crate::core::EdgeCore;
 use crate::ports::{EdgeWire, FeedPage, FeedValue, FleetError, FleetStore, SettingsSource};
 use crate::store_health::StoreHealth;
@@ -16,10 +15,6 @@
 /// Longest wait of a read for the next configuration.
 const CONFIG_WAIT: Duration = Duration::from_secs(25);
 
-/// Time between two reads of the servers, as a part of the time in which a leaving server may still
-/// get requests, in percent.
-const SERVER_PERIOD_PERCENT: u32 = 65;
-
 /// Time between two looks at the settings.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(3);
 
@@ -88,72 +83,6 @@
     core.log.emit(LogEvent::ConfigInForce, message, pairs);
 }
 
-/// Follows servers.
-pub(crate) async fn follow_servers<W, S>(core: Rc<EdgeCore<W, S>>)
-where
-    W: EdgeWire,
-    S: FleetStore,
-{
-    let mut health = StoreHealth::new(&core.log, "servers");
-    let mut cursor = None;
-    loop {
-        // Rows that lapsed are given up in time, whether or not the store answers.
-        let mut news = CatalogNews::default();
-        core.catalog
-            .borrow_mut()
-            .expire(core.clock.now(), &mut news);
-        take_news(&core, news);
-        let read = core.store.read_servers(cursor, Duration::ZERO).await;
-        let now = core.clock.now();
-        let mut pause = core.settings().bounds.server_drain * SERVER_PERIOD_PERCENT / 100;
-        match read {
-            Ok(page) => {
-                health.succeeded();
-                cursor = Some(page.cursor);
-                let news = core.catalog.borrow_mut().apply(page, now);
-                core.set_servers_known();
-                take_news(&core, news);
-            }
-            Err(FleetError::HistoryLost) => {
-                cursor = None;
-                continue;
-            }
-            Err(error) => {
-                pause = health.failed(&error);
-            }
-        }
-        if let Some(expiry) = core.catalog.borrow().next_expiry() {
-            pause = pause.min(expiry.since(now)).max(MIN_PAUSE);
-        }
-        sleep(pause).await;
-    }
-}
-
-/// Shortest pause between two reads of the servers.
-const MIN_PAUSE: Duration = Duration::from_millis(100);
-
-/// Acts on a change of the servers.
-fn take_news<W, S>(core: &EdgeCore<W, S>, news: CatalogNews) {
-    if news.is_change() {
-        core.refresh_services(core.clock.now());
-    }
-    for server in news.listed {
-        let pairs = slog::o!("server" => server.to_string());
-        let message = "server takes requests";
-        core.log.emit(LogEvent::ServerListed, message, pairs);
-    }
-    for server in news.dropped {
-        let pairs = slog::o!("server" => server.to_string());
-        let message = "server takes no new requests";
-        core.log.emit(LogEvent::ServerDropped, message, pairs);
-    }
-    for (server, cause) in news.unreadable {
-        let pairs = slog::o!("server" => server.to_string(), "cause" => cause);
-        let message = "row names no server";
-        core.log.emit(LogEvent::ServerUnreadable, message, pairs);
-    }
-}
-
 /// Looks at the settings again whenever `signal` yields, and from time to time.
 pub(crate) async fn follow_settings<W, S, P>(
     core: Rc<EdgeCore<W, S>>,
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -10,12 +10,14 @@
 use ggs_member::{GateRecord, GateState, PeerTable, PeerTiming};
 use ggs_model::{BootClock, Clock, GateId, Incarnation, Moment, ServiceName};
 use ggs_observe::EventLog;
-use ggs_place::{AskBudget, BoardServer};
+use ggs_place::{AskBudget, BoardServer, ServerKey};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_route::RouteTable;
 
 use crate::catalog::ServerCatalog;
 use crate::gates::{GATE_LEASE, GateContacts};
+use crate::news::PendingNews;
+use crate::servers::ServerFollow;
 use crate::service::ServiceState;
 use crate::settings::EdgeSettings;
 
@@ -66,7 +68,13 @@
     pub(crate) contacts: RefCell<GateContacts>,
     /// Questions that may be asked.
     pub(crate) asks: RefCell<AskBudget>,
+    /// Loads and sends that the other gates were not told yet.
+    pub(crate) news: PendingNews,
+    /// How far the list of servers is known.
+    pub(crate) follow: ServerFollow,
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
+    /// Servers by the name of their run.
+    instances: RefCell<HashMap<Arc<str>, (Rc<ServiceState>, ServerKey)>>,
     servers_known: Cell<bool>,
     draining: Cell<bool>,
 }
@@ -101,7 +109,10 @@
             codec: ServiceConfig::default(),
             routes: RefCell::new(None),
             asks: RefCell::new(AskBudget::new(now)),
+            news: PendingNews::default(),
+            follow: ServerFollow::default(),
             services: RefCell::new(HashMap::new()),
+            instances: RefCell::new(HashMap::new()),
             servers_known: Cell::new(false),
             draining: Cell::new(false),
         })
@@ -173,13 +184,27 @@
         for name in lists.keys() {
             self.service(name);
         }
+        let mut instances = HashMap::new();
         for (name, service) in self.services.borrow().iter() {
             let servers = lists.remove(name).unwrap_or_default();
-            service.board.borrow_mut().replace(servers, now);
+            let mut board = service.board.borrow_mut();
+            board.replace(servers, now);
+            for (key, server) in board.servers() {
+                let place = (Rc::clone(service), key);
+                instances.insert(Arc::clone(&server.instance), place);
+            }
         }
+        *self.instances.borrow_mut() = instances;
         self.refresh_shares(total);
     }
 
+    /// The service and the place of a server that may get requests.
+    pub(crate) fn find_server(&self, instance: &str) -> Option<(Rc<ServiceState>, ServerKey)> {
+        let instances = self.instances.borrow();
+        let (service, key) = instances.get(instance)?;
+        Some((Rc::clone(service), *key))
+    }
+
     /// Notes that the list of servers was read.
     pub(crate) fn set_servers_known(&self) {
         self.servers_known.set(true);
@@ -203,7 +228,7 @@
             let share = f64::from(rule.connections) * CONNECTION_MARGIN / gates as f64;
             let share = (share as usize).max(MIN_CONNECTIONS);
             let board = service.board.borrow();
-            shares.extend(board.servers().map(|server| (server.address, share)));
+            shares.extend(board.servers().map(|(_, server)| (server.address, share)));
         }
         self.pool.replace_shares(shares);
     }
--- /dev/null
+++ b/crates/edge/src/frames.rs
@@ -0,0 +1,210 @@
+//! Datagrams between the gates of a data centre.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ggs_place::LoadSample;
+use prost::Message;
+
+use crate::{FeedChange, FeedCursor, FeedValue, ServerRecord};
+
+/// One datagram.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct Datagram {
+    /// A message of `ggs-peer`: a heartbeat or a goodbye.
+    #[prost(bytes = "vec", optional, tag = "1")]
+    pub(crate) peer: Option<Vec<u8>>,
+    /// Whether the sender could read the store of late.
+    #[prost(bool, tag = "2")]
+    pub(crate) reads_store: bool,
+    /// Loads and sends.
+    #[prost(message, optional, tag = "3")]
+    pub(crate) news: Option<NewsBody>,
+    /// What changed in the list of servers.
+    #[prost(message, optional, tag = "4")]
+    pub(crate) servers: Option<ServersBody>,
+}
+
+/// What the sender learned of servers in the last milliseconds.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct NewsBody {
+    /// Loads that servers told it.
+    #[prost(message, repeated, tag = "1")]
+    pub(crate) loads: Vec<LoadBody>,
+    /// Servers that it sent a request to.
+    #[prost(string, repeated, tag = "2")]
+    pub(crate) sends: Vec<String>,
+}
+
+/// The load of one server.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LoadBody {
+    #[prost(string, tag = "1")]
+    pub(crate) instance: String,
+    #[prost(uint32, tag = "2")]
+    running: u32,
+    #[prost(uint32, tag = "3")]
+    waiting: u32,
+    #[prost(uint32, tag = "4")]
+    slots: u32,
+    #[prost(uint32, tag = "5")]
+    pace_percent: u32,
+}
+
+impl LoadBody {
+    /// The load of `instance`.
+    pub(crate) fn new(instance: &str, sample: LoadSample) -> Self {
+        Self {
+            instance: instance.to_owned(),
+            running: sample.running,
+            waiting: sample.waiting,
+            slots: sample.slots,
+            pace_percent: sample.pace_percent,
+        }
+    }
+}
+
+impl From<&LoadBody> for LoadSample {
+    fn from(body: &LoadBody) -> Self {
+        Self {
+            running: body.running,
+            waiting: body.waiting,
+            slots: body.slots,
+            pace_percent: body.pace_percent,
+        }
+    }
+}
+
+/// Changes of the list of servers between two places in its feed.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ServersBody {
+    /// Where the changes begin.
+    #[prost(uint64, tag = "1")]
+    pub(crate) after: u64,
+    /// Where they end.
+    #[prost(uint64, tag = "2")]
+    pub(crate) cursor: u64,
+    /// Digest of the list at the end.
+    #[prost(uint64, tag = "3")]
+    pub(crate) digest: u64,
+    /// The changes.
+    #[prost(message, repeated, tag = "4")]
+    changes: Vec<ChangeBody>,
+}
+
+/// One change.
+#[derive(Clone, PartialEq, Message)]
+struct ChangeBody {
+    #[prost(string, tag = "1")]
+    key: String,
+    /// `None` if the row was removed or names no server.
+    #[prost(message, optional, tag = "2")]
+    record: Option<RecordBody>,
+    /// Why the row names no server.
+    #[prost(string, optional, tag = "3")]
+    fault: Option<String>,
+}
+
+/// A server's row.
+#[derive(Clone, PartialEq, Message)]
+struct RecordBody {
+    #[prost(uint64, optional, tag = "1")]
+    born: Option<u64>,
+    #[prost(string, tag = "2")]
+    service: String,
+    #[prost(string, tag = "3")]
+    address: String,
+    #[prost(string, tag = "4")]
+    data_centre: String,
+    #[prost(uint32, tag = "5")]
+    slots: u32,
+    #[prost(bool, tag = "6")]
+    draining: bool,
+    #[prost(uint64, tag = "7")]
+    cold_left_ms: u64,
+}
+
+impl ServersBody {
+    /// Changes from `after` to `cursor`.
+    pub(crate) fn new(
+        after: FeedCursor,
+        cursor: FeedCursor,
+        digest: u64,
+        changes: &[FeedChange<ServerRecord>],
+    ) -> Self {
+        Self {
+            after: after.0,
+            cursor: cursor.0,
+            digest,
+            changes: changes.iter().map(ChangeBody::from).collect(),
+        }
+    }
+
+    /// The changes; those that cannot be read are told as such.
+    pub(crate) fn changes(&self) -> Vec<FeedChange<ServerRecord>> {
+        self.changes.iter().map(FeedChange::from).collect()
+    }
+}
+
+impl From<&FeedChange<ServerRecord>> for ChangeBody {
+    fn from(change: &FeedChange<ServerRecord>) -> Self {
+        let (record, fault) = match &change.value {
+            FeedValue::Present(record) => (Some(RecordBody::from(record)), None),
+            FeedValue::Removed => (None, None),
+            FeedValue::Unreadable(cause) => (None, Some(cause.clone())),
+        };
+        Self {
+            key: change.key.to_string(),
+            record,
+            fault,
+        }
+    }
+}
+
+impl From<&ChangeBody> for FeedChange<ServerRecord> {
+    fn from(body: &ChangeBody) -> Self {
+        let value = match (&body.record, &body.fault) {
+            (_, Some(fault)) => FeedValue::Unreadable(fault.clone()),
+            (None, None) => FeedValue::Removed,
+            (Some(record), None) => match record.to_record(&body.key) {
+                Ok(record) => FeedValue::Present(record),
+                Err(cause) => FeedValue::Unreadable(cause),
+            },
+        };
+        Self {
+            key: Arc::from(body.key.as_str()),
+            value,
+        }
+    }
+}
+
+impl From<&ServerRecord> for RecordBody {
+    fn from(record: &ServerRecord) -> Self {
+        Self {
+            born: record.born,
+            service: record.service.as_str().to_owned(),
+            address: record.address.to_string(),
+            data_centre: record.data_centre.as_str().to_owned(),
+            slots: record.slots,
+            draining: record.draining,
+            cold_left_ms: record.cold_left.as_millis() as u64,
+        }
+    }
+}
+
+impl RecordBody {
+    /// The record under `key`.
+    fn to_record(&self, key: &str) -> Result<ServerRecord, String> {
+        let address = self.address.parse();
+        Ok(ServerRecord {
+            instance: Arc::from(key),
+            born: self.born,
+            service: self.service.as_str().into(),
+            address: address.map_err(|error| format!("address: {error}"))?,
+            data_centre: self.data_centre.as_str().into(),
+            slots: self.slots,
+            draining: self.draining,
+            cold_left: Duration::from_millis(self.cold_left_ms),
+        })
+    }
+}
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -12,10 +12,12 @@
 use ggs_model::{Clock, DataCentre, Moment};
 use ggs_observe::LogEvent;
 use ggs_peer::{PROTOCOL_VERSION, PeerHello, PeerMessage, decode_message, encode_message};
+use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use crate::core::EdgeCore;
+use crate::frames::Datagram;
 use crate::ports::{EdgeWire, FleetStore};
 use crate::store_health::StoreHealth;
 
@@ -43,6 +45,8 @@
     data_centre: DataCentre,
     callers: SocketAddr,
     known_at: Moment,
+    /// Whether the gate said that it could read the store of late.
+    reads_store: bool,
 }
 
 /// Gates by the address for datagrams, this one included once it is registered.
@@ -58,10 +62,24 @@
             data_centre: record.data_centre.clone(),
             callers: record.callers,
             known_at: now,
+            reads_store: self.reads_store(record.peers),
         };
         self.contacts.insert(record.peers, contact);
     }
 
+    /// Takes whether the gate at an address can read the store.
+    fn note_reads(&mut self, address: SocketAddr, reads_store: bool) {
+        if let Some(contact) = self.contacts.get_mut(&address) {
+            contact.reads_store = reads_store;
+        }
+    }
+
+    /// Whether the gate at an address said that it can read the store.
+    pub(crate) fn reads_store(&self, address: SocketAddr) -> bool {
+        let contact = self.contacts.get(&address);
+        contact.is_some_and(|contact| contact.reads_store)
+    }
+
     /// Known gates.
     pub(crate) fn fleet_size(&self) -> usize {
         self.contacts.len()
@@ -175,25 +193,35 @@
         version: PROTOCOL_VERSION,
         record,
     });
-    send_to_near(core, socket, &message).await
+    send_to_near(core, socket, &peer_datagram(core, &message)).await
 }
 
 /// Tells the gates of the data centre that this one leaves.
 pub(crate) async fn say_goodbye<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) {
     let gate = core.gates.borrow().own().gate.clone();
-    send_to_near(core, socket, &PeerMessage::Goodbye(gate)).await;
+    let message = PeerMessage::Goodbye(gate);
+    send_to_near(core, socket, &peer_datagram(core, &message)).await;
+}
+
+/// A datagram with a message.
+fn peer_datagram<W, S>(core: &EdgeCore<W, S>, message: &PeerMessage) -> Datagram {
+    Datagram {
+        peer: Some(encode_message(message)),
+        reads_store: core.reads_store(),
+        ..Datagram::default()
+    }
 }
 
 /// Sends a datagram to each gate of the data centre; yields to how many.
-async fn send_to_near<W, S>(
+pub(crate) async fn send_to_near<W, S>(
     core: &EdgeCore<W, S>,
     socket: &UdpSocket,
-    message: &PeerMessage,
+    datagram: &Datagram,
 ) -> usize {
     let settings = core.settings();
     let mut peers = core.contacts.borrow().peers_of(&settings.data_centre);
     peers.retain(|address| *address != settings.listen_gates);
-    let bytes = encode_message(message);
+    let bytes = datagram.encode_to_vec();
     for address in &peers {
         // A datagram that is not sent counts as a lost one; the next follows soon.
         let _lost = socket.send_to(&bytes, address).await;
@@ -209,33 +237,60 @@
 {
     let mut buffer = vec![0; MAX_DATAGRAM];
     loop {
-        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+        let Ok((length, sender)) = socket.recv_from(&mut buffer).await else {
             sleep(READY_CHECK).await;
             continue;
         };
-        let now = core.clock.now();
-        match decode_message(&buffer[..length]) {
-            Ok(PeerMessage::Hello(hello)) if hello.version == PROTOCOL_VERSION => {
-                core.contacts.borrow_mut().note(&hello.record, now);
-                let gate = hello.record.gate.to_string();
-                let news = core.gates.borrow_mut().hear(hello.record, now);
-                if matches!(news, PeerNews::Joined | PeerNews::Back) {
-                    let pairs = slog::o!("gate" => gate);
-                    core.log.emit(LogEvent::GateJoined, "gate is heard", pairs);
-                }
-            }
-            Ok(PeerMessage::Goodbye(gate)) => {
-                if core.gates.borrow_mut().goodbye(&gate) {
-                    let pairs = slog::o!("gate" => gate.to_string());
-                    core.log.emit(LogEvent::GateLeft, "gate leaves", pairs);
-                }
+        if let Err(cause) = take_datagram(&core, &buffer[..length], sender) {
+            let pairs = slog::o!("sender" => sender.to_string(), "cause" => cause);
+            let message = "datagram is not from a gate";
+            core.log.emit(LogEvent::PeerLinkRejected, message, pairs);
+        }
+    }
+}
+
+/// Takes one datagram.
+fn take_datagram<W, S>(
+    core: &EdgeCore<W, S>,
+    bytes: &[u8],
+    sender: SocketAddr,
+) -> Result<(), String> {
+    let datagram = Datagram::decode(bytes).map_err(|error| error.to_string())?;
+    if let Some(news) = &datagram.news {
+        core.hear_news(news);
+    }
+    if let Some(servers) = &datagram.servers {
+        core.hear_servers(servers);
+    }
+    if let Some(peer) = &datagram.peer {
+        let message = decode_message(peer).map_err(|error| error.to_string())?;
+        take_message(core, message);
+    }
+    let mut contacts = core.contacts.borrow_mut();
+    contacts.note_reads(sender, datagram.reads_store);
+    Ok(())
+}
+
+/// Takes a heartbeat or a goodbye.
+fn take_message<W, S>(core: &EdgeCore<W, S>, message: PeerMessage) {
+    let now = core.clock.now();
+    match message {
+        PeerMessage::Hello(hello) if hello.version == PROTOCOL_VERSION => {
+            core.contacts.borrow_mut().note(&hello.record, now);
+            let gate = hello.record.gate.to_string();
+            let news = core.gates.borrow_mut().hear(hello.record, now);
+            if matches!(news, PeerNews::Joined | PeerNews::Back) {
+                let pairs = slog::o!("gate" => gate);
+                core.log.emit(LogEvent::GateJoined, "gate is heard", pairs);
             }
-            Ok(_) => {}
-            Err(error) => {
-                let pairs = slog::o!("cause" => error.to_string());
-                let message = "datagram is not from a gate";
-                core.log.emit(LogEvent::PeerLinkRejected, message, pairs);
+        }
+        PeerMessage::Goodbye(gate) => {
+            if core.gates.borrow_mut().goodbye(&gate) {
+                let pairs = slog::o!("gate" => gate.to_string());
+                core.log.emit(LogEvent::GateLeft, "gate leaves", pairs);
             }
         }
+        // The other messages belong to connections between gates that follow documents.
+        _ => {}
     }
 }
--- /dev/null
+++ b/crates/edge/src/news.rs
@@ -0,0 +1,102 @@
+//! Loads and sends that the gates of a data centre tell one another.
+//!
+//! Questions to servers are bounded over the whole fleet, datagrams within a data centre are not. So
+//! what one gate learned of a server is used by its neighbours, and they count its sends.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ggs_model::Clock;
+use ggs_place::{LoadSample, ServerKey};
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use crate::core::EdgeCore;
+use crate::frames::{Datagram, LoadBody, NewsBody};
+use crate::gates::send_to_near;
+use crate::ports::EdgeWire;
+use crate::service::ServiceState;
+
+/// Time for which news are gathered into one datagram.
+const GATHER_TIME: Duration = Duration::from_millis(1);
+
+/// Entries of one datagram at most; thirty bytes each.
+const MAX_ENTRIES: usize = 40;
+
+/// News that were not sent yet.
+#[derive(Debug, Default)]
+pub(crate) struct PendingNews {
+    body: RefCell<NewsBody>,
+    added: Notify,
+}
+
+impl PendingNews {
+    /// Adds the load that a server told.
+    pub(crate) fn add_load(&self, instance: &str, sample: LoadSample) {
+        let mut body = self.body.borrow_mut();
+        if body.loads.len() < MAX_ENTRIES {
+            body.loads.push(LoadBody::new(instance, sample));
+            self.added.notify_one();
+        }
+    }
+
+    /// Adds a send.
+    pub(crate) fn add_send(&self, instance: &str) {
+        let mut body = self.body.borrow_mut();
+        if body.sends.len() < MAX_ENTRIES {
+            body.sends.push(instance.to_owned());
+            self.added.notify_one();
+        }
+    }
+}
+
+impl<W, S> EdgeCore<W, S> {
+    /// Takes the load that a server told this gate, and tells the others.
+    pub(crate) fn learn_load(&self, service: &ServiceState, key: ServerKey, sample: LoadSample) {
+        let mut board = service.board.borrow_mut();
+        board.note_load(key, sample, self.clock.now());
+        if let Some(server) = board.server(key) {
+            self.news.add_load(&server.instance, sample);
+        }
+    }
+
+    /// Takes the news of another gate.
+    pub(crate) fn hear_news(&self, news: &NewsBody) {
+        let now = self.clock.now();
+        for load in &news.loads {
+            if let Some((service, key)) = self.find_server(&load.instance) {
+                let sample = LoadSample::from(load);
+                service.board.borrow_mut().note_load(key, sample, now);
+            }
+        }
+        for instance in &news.sends {
+            if let Some((service, key)) = self.find_server(instance) {
+                service.board.borrow_mut().note_sent(key, now);
+            }
+        }
+    }
+}
+
+/// Sends news as they come.
+pub(crate) async fn spread<W, S>(core: Rc<EdgeCore<W, S>>, socket: Rc<UdpSocket>)
+where
+    W: EdgeWire,
+    S: 'static,
+{
+    loop {
+        core.news.added.notified().await;
+        sleep(GATHER_TIME).await;
+        let news = core.news.body.take();
+        if news.loads.is_empty() && news.sends.is_empty() {
+            continue;
+        }
+        let datagram = Datagram {
+            news: Some(news),
+            reads_store: core.reads_store(),
+            ..Datagram::default()
+        };
+        send_to_near(&core, &socket, &datagram).await;
+    }
+}
--- a/crates/edge/src/program.rs
+++ b/crates/edge/src/program.rs
@@ -14,12 +14,14 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 
-use crate::config::{follow_configs, follow_servers, follow_settings};
+use crate::config::{follow_configs, follow_settings};
 use crate::core::EdgeCore;
 use crate::drain::drain;
 use crate::gates;
 use crate::listen::{OpenCallers, serve_callers, serve_entries, serve_ready};
 use crate::ports::{EdgeWire, FleetStore, SettingsSource};
+use crate::news;
+use crate::servers::follow_servers;
 use crate::settings::EdgeSettings;
 
 /// The manual.
@@ -210,7 +212,8 @@
     actix_rt::spawn(serve_ready(own(&core), ready, finished.clone()));
     actix_rt::spawn(serve_entries(own(&core), entries, finished));
     actix_rt::spawn(follow_configs(own(&core)));
-    actix_rt::spawn(follow_servers(own(&core)));
+    actix_rt::spawn(follow_servers(own(&core), Rc::clone(&socket)));
+    actix_rt::spawn(news::spread(own(&core), Rc::clone(&socket)));
     actix_rt::spawn(follow_settings(own(&core), source, reload));
     actix_rt::spawn(gates::follow_store(own(&core)));
     actix_rt::spawn(gates::announce(own(&core), Rc::clone(&socket)));
--- /dev/null
+++ b/crates/edge/src/servers.rs
@@ -0,0 +1,235 @@
+//! Follows the list of servers, by the store or by another gate.
+//!
+//! Calls to the store are paid for, and each gate that reads it reads the same. So one gate of a data
+//! centre reads and tells the others what changed; a gate that is not told in time reads itself.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use ggs_member::GateRecord;
+use ggs_model::{Clock, DataCentre, Moment};
+use ggs_observe::LogEvent;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+use crate::catalog::CatalogNews;
+use crate::core::EdgeCore;
+use crate::frames::{Datagram, ServersBody};
+use crate::gates::send_to_near;
+use crate::ports::{EdgeWire, FeedCursor, FeedPage, FleetError, FleetStore, ServerRecord};
+use crate::store_health::StoreHealth;
+
+/// Time between two reads of the gate that reads for its data centre, in percent of the time in which
+/// a leaving server may still get requests.
+const READ_PERCENT: u32 = 45;
+
+/// Time without a word after which a gate reads itself, in percent of the same.
+const SILENCE_PERCENT: u32 = 68;
+
+/// Shortest pause between two reads.
+const MIN_PAUSE: Duration = Duration::from_millis(100);
+
+/// Changes in one datagram at most; hundred bytes each.
+const MAX_CHANGES: usize = 12;
+
+/// How far the list of servers is known.
+#[derive(Debug, Default)]
+pub(crate) struct ServerFollow {
+    /// Place in the feed.
+    cursor: Cell<Option<FeedCursor>>,
+    /// When the list was last known to be the newest.
+    known_at: Cell<Moment>,
+    /// Whether what another gate told does not fit this gate's list.
+    differs: Cell<bool>,
+    /// Whether the last read failed.
+    failing: Cell<bool>,
+    told: Notify,
+}
+
+/// The gate that reads the store for its data centre: the first by name of those that live there and
+/// can read it.
+pub(crate) fn choose_reader<'a>(
+    gates: impl Iterator<Item = (&'a GateRecord, bool)>,
+    data_centre: &DataCentre,
+) -> Option<&'a GateRecord> {
+    let able = gates.filter(|(gate, reads)| *reads && gate.data_centre == *data_centre);
+    able.map(|(gate, _)| gate).min_by_key(|gate| &gate.gate)
+}
+
+impl<W, S> EdgeCore<W, S> {
+    /// Whether this gate's reads of the store succeed.
+    pub(crate) fn reads_store(&self) -> bool {
+        !self.follow.failing.get() && self.follow.cursor.get().is_some()
+    }
+
+    /// Whether this gate reads for its data centre.
+    fn is_reader(&self, now: Moment) -> bool {
+        if !self.is_ready() {
+            return false;
+        }
+        let gates = self.gates.borrow();
+        let contacts = self.contacts.borrow();
+        let own = gates.own();
+        let handed = gates.handed_out(now);
+        let able = handed.live.iter().map(|gate| {
+            let reads = if gate.gate == own.gate {
+                self.reads_store()
+            } else {
+                contacts.reads_store(gate.peers)
+            };
+            (*gate, reads)
+        });
+        let reader = choose_reader(able, &own.data_centre);
+        reader.is_some_and(|reader| reader.gate == own.gate)
+    }
+
+    /// Takes what another gate told of the list of servers.
+    pub(crate) fn hear_servers(&self, body: &ServersBody) {
+        let Some(FeedCursor(own)) = self.follow.cursor.get() else {
+            return;
+        };
+        if own > body.cursor {
+            return;
+        }
+        if own < body.after {
+            self.follow.differs.set(true);
+            self.follow.told.notify_one();
+            return;
+        }
+        let page = FeedPage {
+            whole: false,
+            changes: body.changes(),
+            cursor: FeedCursor(body.cursor),
+        };
+        self.take_page(page);
+        if self.catalog.borrow().digest() != body.digest {
+            self.follow.differs.set(true);
+        }
+        self.follow.told.notify_one();
+    }
+
+    /// Takes a page that is the newest there is.
+    fn take_page(&self, page: FeedPage<ServerRecord>) {
+        let now = self.clock.now();
+        self.follow.cursor.set(Some(page.cursor));
+        self.follow.known_at.set(now);
+        let news = self.catalog.borrow_mut().apply(page, now);
+        self.set_servers_known();
+        self.take_news(news);
+    }
+
+    /// Gives up servers whose rows lapsed.
+    fn expire_servers(&self) {
+        let mut news = CatalogNews::default();
+        let now = self.clock.now();
+        self.catalog.borrow_mut().expire(now, &mut news);
+        self.take_news(news);
+    }
+
+    /// Acts on a change of the servers.
+    fn take_news(&self, news: CatalogNews) {
+        if news.is_change() {
+            self.refresh_services(self.clock.now());
+        }
+        for server in news.listed {
+            let pairs = slog::o!("server" => server.to_string());
+            let message = "server takes requests";
+            self.log.emit(LogEvent::ServerListed, message, pairs);
+        }
+        for server in news.dropped {
+            let pairs = slog::o!("server" => server.to_string());
+            let message = "server takes no new requests";
+            self.log.emit(LogEvent::ServerDropped, message, pairs);
+        }
+        for (server, cause) in news.unreadable {
+            let pairs = slog::o!("server" => server.to_string(), "cause" => cause);
+            let message = "row names no server";
+            self.log.emit(LogEvent::ServerUnreadable, message, pairs);
+        }
+    }
+}
+
+/// Follows servers.
+pub(crate) async fn follow_servers<W, S>(core: Rc<EdgeCore<W, S>>, socket: Rc<UdpSocket>)
+where
+    W: EdgeWire,
+    S: FleetStore,
+{
+    let mut health = StoreHealth::new(&core.log, "servers");
+    loop {
+        // Rows that lapsed are given up in time, whether or not the store answers.
+        core.expire_servers();
+        let whole = core.follow.differs.replace(false);
+        let cursor = core.follow.cursor.get().filter(|_| !whole);
+        let read = core.store.read_servers(cursor, Duration::ZERO).await;
+        match read {
+            Ok(page) => {
+                health.succeeded();
+                core.follow.failing.set(false);
+                take_read(&core, &socket, page).await;
+                wait_for_next(&core).await;
+            }
+            Err(FleetError::HistoryLost) => core.follow.differs.set(true),
+            Err(error) => {
+                core.follow.failing.set(true);
+                tokio::time::sleep(health.failed(&error)).await;
+            }
+        }
+    }
+}
+
+/// Takes a page of the store, and tells the gates of the data centre if this one reads for them.
+async fn take_read<W, S>(
+    core: &Rc<EdgeCore<W, S>>,
+    socket: &UdpSocket,
+    page: FeedPage<ServerRecord>,
+) where
+    W: EdgeWire,
+    S: FleetStore,
+{
+    let before = core.follow.cursor.get();
+    let cursor = page.cursor;
+    let mut changes = page.changes.clone();
+    changes.retain(|change| core.catalog.borrow().is_news(change));
+    let whole = page.whole;
+    core.take_page(page);
+    let (Some(after), false) = (before, whole) else {
+        return;
+    };
+    if changes.len() > MAX_CHANGES || !core.is_reader(core.clock.now()) {
+        return;
+    }
+    let digest = core.catalog.borrow().digest();
+    let datagram = Datagram {
+        servers: Some(ServersBody::new(after, cursor, digest, &changes)),
+        reads_store: true,
+        ..Datagram::default()
+    };
+    send_to_near(core, socket, &datagram).await;
+}
+
+/// Waits until this gate has to read the store.
+async fn wait_for_next<W, S>(core: &EdgeCore<W, S>) {
+    let drain = core.settings().bounds.server_drain;
+    loop {
+        let now = core.clock.now();
+        let percent = if core.is_reader(now) {
+            READ_PERCENT
+        } else {
+            SILENCE_PERCENT
+        };
+        let due = core.follow.known_at.get() + drain * percent / 100;
+        let expiry = core.catalog.borrow().next_expiry();
+        let due = expiry.map_or(due, |expiry| due.min(expiry));
+        let pause = due.since(now);
+        if pause.is_zero() || core.follow.differs.get() {
+            // A list that goes on to differ must not make reads follow one another at once.
+            tokio::time::sleep(MIN_PAUSE).await;
+            return;
+        }
+        // Woken or not, the loop decides anew.
+        let _woken = timeout(pause, core.follow.told.notified()).await;
+    }
+}
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -271,8 +271,9 @@
     }
 
     /// All servers.
-    pub fn servers(&self) -> impl Iterator<Item = &BoardServer> {
-        self.entries.values().map(|entry| &entry.server)
+    pub fn servers(&self) -> impl Iterator<Item = (ServerKey, &BoardServer)> {
+        let entries = self.entries.iter();
+        entries.map(|(key, entry)| (*key, &entry.server))
     }
 
     /// Draws up to `count` servers that told no load since `since`; those that could not be reached of
