--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -281,7 +281,7 @@
     }
     let far = board.best(AskScope::Far, search);
     let told = near.into_iter().chain(far);
-    let told = told.min_by_key(|placement| placement.expected);
+    let told = told.min_by(|one, other| one.rank.total_cmp(&other.rank));
     if told.is_some() {
         return told;
     }
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -47,9 +47,12 @@
 /// Sends that are remembered beyond a sample at most.
 const MAX_SENDS: usize = 64;
 
-/// Time that a crossing between data centres is ranked at, beyond its delay: bytes between them are
-/// dear.
-const CROSSING_COST: Duration = Duration::from_millis(5);
+/// Part of its work by which a server of another data centre has to be faster than a near one: bytes
+/// between them are dear.
+const CROSSING_PART: f64 = 0.5;
+
+/// Delay of a crossing between data centres and back.
+const CROSSING_TIME: Duration = Duration::from_millis(3);
 
 /// Names a server of a board.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -94,7 +97,7 @@
 }
 
 /// A server that could take a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Placement {
     /// The server.
     pub server: ServerKey,
@@ -104,6 +107,8 @@
     pub has_slot: bool,
     /// Pace that it told last, as a percentage.
     pub pace_percent: u32,
+    /// The figure by which servers are compared; the least is best.
+    pub rank: f64,
 }
 
 /// How a send to a server ended.
@@ -341,22 +346,22 @@
         search: &PlaceSearch<'_>,
         load: impl Fn(&BoardEntry) -> Option<LoadSample>,
     ) -> Option<Placement> {
-        let mut best: Option<(f64, Placement)> = None;
+        let mut best: Option<Placement> = None;
         for key in keys.iter().filter(|key| !search.tried.contains(key)) {
             let Some(entry) = self.entries.get(key) else {
                 continue;
             };
             let placed = load(entry).and_then(|load| place(*key, entry, load, search));
-            let Some((placement, rank)) = placed else {
+            let Some(mut placement) = placed else {
                 continue;
             };
             // Gates that decide at the same moment should not all send to the same server.
-            let rank = rank * self.rng.random_range(RANK_SPREAD);
-            if best.as_ref().is_none_or(|(least, _)| rank < *least) {
-                best = Some((rank, placement));
+            placement.rank *= self.rng.random_range(RANK_SPREAD);
+            if best.is_none_or(|best| placement.rank < best.rank) {
+                best = Some(placement);
             }
         }
-        best.map(|(_, placement)| placement)
+        best
     }
 
     /// Notes that a request goes to a server.
@@ -415,14 +420,13 @@
     keys.truncate(count);
 }
 
-/// When an entry is expected to answer, and the figure to rank it by; `None` if its waiting room is
-/// full.
+/// When an entry is expected to answer; `None` if its waiting room is full.
 fn place(
     key: ServerKey,
     entry: &BoardEntry,
     load: LoadSample,
     search: &PlaceSearch<'_>,
-) -> Option<(Placement, f64)> {
+) -> Option<Placement> {
     let now = search.now;
     let slots = load.slots.max(1);
     let ahead = load.ahead(0);
@@ -434,18 +438,19 @@
     let cold = if cold { COLD_WEIGHT } else { 0.0 };
     let pace = f64::from(load.pace_percent) / 100.0 * (1.0 + crowding) * (1.0 + cold);
     let rounds = 1.0 + f64::from(ahead) / f64::from(slots);
+    let expected = search.work.mul_f64(pace * rounds);
     let crossing = if entry.server.near {
         Duration::ZERO
     } else {
-        CROSSING_COST
+        search.work.mul_f64(CROSSING_PART) + CROSSING_TIME
     };
-    let expected = search.work.mul_f64(pace * rounds) + crossing;
-    let rank = expected.as_secs_f64() * (1.0 + entry.failures(now) * FAILURE_WEIGHT);
-    let placement = Placement {
+    let rank = expected + crossing;
+    let rank = rank.as_secs_f64() * (1.0 + entry.failures(now) * FAILURE_WEIGHT);
+    Some(Placement {
         server: key,
         expected,
         has_slot: ahead == 0,
         pace_percent: load.pace_percent,
-    };
-    Some((placement, rank))
+        rank,
+    })
 }
--- a/crates/place/src/moves.rs
+++ b/crates/place/src/moves.rs
@@ -57,7 +57,7 @@
 }
 
 /// What to do next.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum NextMove {
     /// Send to the best server.
     Send(Placement),
