--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use actix_http::body::BodySize;
+use actix_http::body::{BodySize, MessageBody};
 use actix_http::header::CONTENT_ENCODING;
 use actix_http::{Method, ResponseHead, StatusCode};
 use bytes::Bytes;
@@ -46,6 +46,19 @@
     Streamed(Box<RelayBody>),
 }
 
+impl AnswerBytes {
+    /// The length in bytes; zero if it is not known.
+    pub(crate) fn length(&self) -> u64 {
+        match self {
+            Self::Whole(bytes) => bytes.len() as u64,
+            Self::Streamed(body) => match body.size() {
+                BodySize::Sized(length) => length,
+                BodySize::None | BodySize::Stream => 0,
+            },
+        }
+    }
+}
+
 /// Why a send brought no answer for the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct SendFailure {
--- a/crates/edge/src/program.rs
+++ b/crates/edge/src/program.rs
@@ -19,8 +19,8 @@
 use crate::drain::drain;
 use crate::gates;
 use crate::listen::{OpenCallers, serve_callers, serve_entries, serve_ready};
-use crate::ports::{EdgeWire, FleetStore, SettingsSource};
 use crate::news;
+use crate::ports::{EdgeWire, FleetStore, SettingsSource};
 use crate::servers::follow_servers;
 use crate::settings::EdgeSettings;
 
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -23,8 +23,11 @@
 use crate::request::{EdgeRequest, RequestFault, end_to_end, read_body};
 use crate::service::ServiceState;
 
-/// Servers that are asked at once.
-const MAX_ASKS: usize = 8;
+/// Servers of the gate's data centre that are asked at once.
+const NEAR_ASKS: usize = 8;
+
+/// Servers of other data centres that are asked at once; bytes between data centres are dear.
+const FAR_ASKS: usize = 3;
 
 /// Part of a request's work for which a load that was told stays of use, one in this many.
 const FRESH_PARTS: u32 = 4;
@@ -161,7 +164,7 @@
         };
         let failure = match result {
             Ok((answer, hold)) => {
-                note_work(core, &service, request, &placement, sent_at);
+                note_work(core, &service, request, &placement, sent_at, &answer);
                 if !is_worth_retry(&answer, request, &state, &service) {
                     span.answered(&service, &placement);
                     return pass_on(answer, hold, request);
@@ -230,13 +233,15 @@
     S: 'static,
 {
     let rule = request.route.rule();
-    let work = service.work(rule).mean();
+    let estimate = service.work(rule);
+    let (work, crossing) = (estimate.mean(), estimate.crossing());
     let fresh = (work / FRESH_PARTS).clamp(MIN_FRESH, MAX_FRESH);
     let mut stage = AskStage::Known;
     loop {
         let now = core.clock.now();
         let search = PlaceSearch {
             work,
+            crossing,
             since: now - fresh,
             tried,
             now,
@@ -244,6 +249,7 @@
         let facts = MoveFacts {
             best: best_known(service, stage, &search),
             work,
+            crossing,
             objective: rule.objective,
             held: now.since(request.read_at),
             time_left: request.answer_by.since(now),
@@ -304,10 +310,13 @@
         return;
     };
     let now = core.clock.now();
-    let mut plan = service
-        .board
-        .borrow_mut()
-        .stale(MAX_ASKS, scope, since, now);
+    let count = match scope {
+        AskScope::Near => NEAR_ASKS,
+        AskScope::Far => FAR_ASKS,
+    };
+    let mut board = service.board.borrow_mut();
+    let mut plan = board.stale(count, scope, since, now);
+    drop(board);
     let granted = core.asks.borrow_mut().take(plan.len(), now);
     plan.truncate(granted);
     ask::ask(core, service, &plan, path).await;
@@ -320,14 +329,17 @@
     request: &EdgeRequest,
     placement: &Placement,
     sent_at: Moment,
+    answer: &EdgeAnswer,
 ) {
-    if !placement.has_slot {
-        return;
-    }
     let rule = request.route.rule();
     let mut work = service.work(rule);
-    let elapsed = core.clock.now().since(sent_at);
-    work.observe(elapsed, placement.pace_percent);
+    if answer.head.status.is_success() {
+        work.observe_length(answer.body.length());
+    }
+    if placement.has_slot {
+        let elapsed = core.clock.now().since(sent_at);
+        work.observe(elapsed, placement.pace_percent);
+    }
     service.set_work(rule, work);
 }
 
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -47,13 +47,6 @@
 /// Sends that are remembered beyond a sample at most.
 const MAX_SENDS: usize = 64;
 
-/// Part of its work by which a server of another data centre has to be faster than a near one: bytes
-/// between them are dear.
-const CROSSING_PART: f64 = 0.5;
-
-/// Delay of a crossing between data centres and back.
-const CROSSING_TIME: Duration = Duration::from_millis(3);
-
 /// Names a server of a board.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServerKey(u64);
@@ -88,6 +81,8 @@
 pub struct PlaceSearch<'a> {
     /// Work of the request on a free server of the usual pace.
     pub work: Duration,
+    /// Time that bringing the answer from another data centre is ranked at.
+    pub crossing: Duration,
     /// Loads that were told earlier are too old.
     pub since: Moment,
     /// Servers that the request was sent to before.
@@ -203,7 +198,13 @@
 /// let slow = LoadSample { pace_percent: 700, ..free };
 /// board.note_load(asked[0], slow, now);
 /// board.note_load(asked[1], free, now);
-/// let search = PlaceSearch { work: Duration::from_millis(50), since: now, tried: &[], now };
+/// let search = PlaceSearch {
+///     work: Duration::from_millis(50),
+///     crossing: Duration::from_millis(3),
+///     since: now,
+///     tried: &[],
+///     now,
+/// };
 /// let best = board.best(AskScope::Near, &search).unwrap();
 /// assert_eq!(best.server, asked[1]);
 /// ```
@@ -442,7 +443,7 @@
     let crossing = if entry.server.near {
         Duration::ZERO
     } else {
-        search.work.mul_f64(CROSSING_PART) + CROSSING_TIME
+        search.crossing
     };
     let rank = expected + crossing;
     let rank = rank.as_secs_f64() * (1.0 + entry.failures(now) * FAILURE_WEIGHT);
--- a/crates/place/src/moves.rs
+++ b/crates/place/src/moves.rs
@@ -46,6 +46,8 @@
     pub best: Option<Placement>,
     /// Work of the request on a free server of the usual pace.
     pub work: Duration,
+    /// Time that bringing the answer from another data centre is ranked at.
+    pub crossing: Duration,
     /// Time within which the caller wants the answer.
     pub objective: Duration,
     /// Time since the request was read.
@@ -87,6 +89,7 @@
 /// let facts = MoveFacts {
 ///     best: None,
 ///     work: second / 10,
+///     crossing: second / 100,
 ///     objective: second,
 ///     held: second,
 ///     time_left: second,
@@ -98,7 +101,7 @@
     let promptly = fit(facts.objective.saturating_sub(facts.held));
     let best = facts.best;
     let within = |percent: u32| {
-        let limit = promptly.min(facts.work * percent / 100);
+        let limit = promptly.min(facts.work * percent / 100 + facts.crossing);
         best.filter(|best| best.has_slot && best.expected <= limit)
     };
     match facts.stage {
--- a/crates/place/src/work.rs
+++ b/crates/place/src/work.rs
@@ -8,7 +8,16 @@
 /// Part of the objective that the work is taken for until an answer was seen: one in this many.
 const FIRST_GUESS_PARTS: u32 = 3;
 
-/// Moving average of the work of one route.
+/// Part of its work by which a server of another data centre has to be faster than a near one.
+const CROSSING_PART: f64 = 0.3;
+
+/// Delay of a crossing between data centres and back.
+const CROSSING_TIME: Duration = Duration::from_millis(3);
+
+/// Time that a kilobyte of an answer is ranked at when it crosses: bytes between data centres are dear.
+const CROSSING_PER_KB: f64 = 0.001;
+
+/// Moving averages of the work of one route and the length of its answers.
 ///
 /// ```
 /// use std::time::Duration;
@@ -23,6 +32,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WorkEstimate {
     mean: Duration,
+    answer_kb: f64,
 }
 
 impl WorkEstimate {
@@ -30,6 +40,7 @@
     pub fn from_objective(objective: Duration) -> Self {
         Self {
             mean: objective / FIRST_GUESS_PARTS,
+            answer_kb: 0.0,
         }
     }
 
@@ -40,8 +51,20 @@
         self.mean = (self.mean * (MEMORY - 1) + usual) / MEMORY;
     }
 
-    /// The estimate.
+    /// Takes the length of an answer in bytes.
+    pub fn observe_length(&mut self, bytes: u64) {
+        let memory = f64::from(MEMORY);
+        self.answer_kb += (bytes as f64 / 1e3 - self.answer_kb) / memory;
+    }
+
+    /// The work.
     pub fn mean(&self) -> Duration {
         self.mean
     }
+
+    /// Time that bringing an answer from another data centre is ranked at.
+    pub fn crossing(&self) -> Duration {
+        let bytes = Duration::from_secs_f64(self.answer_kb * CROSSING_PER_KB);
+        self.mean.mul_f64(CROSSING_PART) + CROSSING_TIME + bytes
+    }
 }
