--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -242,6 +242,7 @@
         let search = PlaceSearch {
             work,
             crossing,
+            crowding: estimate.crowding(),
             since: now - fresh,
             tried,
             now,
@@ -336,9 +337,12 @@
     if answer.head.status.is_success() {
         work.observe_length(answer.body.length());
     }
-    if placement.has_slot {
-        let elapsed = core.clock.now().since(sent_at);
-        work.observe(elapsed, placement.pace_percent);
+    let elapsed = core.clock.now().since(sent_at);
+    match (placement.has_slot, placement.fills) {
+        (true, false) => work.observe(elapsed, placement.pace_percent),
+        (true, true) => work.observe_crowded(elapsed, placement.pace_percent),
+        // How long it waited is not known.
+        (false, _) => {}
     }
     service.set_work(rule, work);
 }
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -25,8 +25,9 @@
 /// Time for which a server that could not be reached is not asked.
 const UNREACHABLE_PAUSE: Duration = Duration::from_millis(700);
 
-/// How much longer work takes on a server whose slots are all in use, at most, less one.
-const CROWDING_WEIGHT: f64 = 0.35;
+/// How much longer work is ranked at on a server whose slots are all in use, less one: among equal
+/// servers the emptier one is taken.
+const SPREAD_WEIGHT: f64 = 0.15;
 
 /// Slots of waiting room that a gate fills beyond the running ones, in parts of the slots: a server
 /// that is asked to queue more may drop a request without a word.
@@ -83,6 +84,8 @@
     pub work: Duration,
     /// Time that bringing the answer from another data centre is ranked at.
     pub crossing: Duration,
+    /// How many times longer work takes on a server that it fills.
+    pub crowding: f64,
     /// Loads that were told earlier are too old.
     pub since: Moment,
     /// Servers that the request was sent to before.
@@ -100,6 +103,8 @@
     pub expected: Duration,
     /// Whether it has a free slot.
     pub has_slot: bool,
+    /// Whether the request takes its last slot or waits for one.
+    pub fills: bool,
     /// Pace that it told last, as a percentage.
     pub pace_percent: u32,
     /// The figure by which servers are compared; the least is best.
@@ -201,6 +206,7 @@
 /// let search = PlaceSearch {
 ///     work: Duration::from_millis(50),
 ///     crossing: Duration::from_millis(3),
+///     crowding: 1.0,
 ///     since: now,
 ///     tried: &[],
 ///     now,
@@ -434,10 +440,12 @@
     if ahead > slots * QUEUE_PARTS {
         return None;
     }
-    let crowding = f64::from(load.running.min(slots)) / f64::from(slots) * CROWDING_WEIGHT;
+    let fills = load.running + load.waiting + 1 >= slots;
+    let crowding = if fills { search.crowding } else { 1.0 };
+    let spread = f64::from(load.running.min(slots)) / f64::from(slots) * SPREAD_WEIGHT;
     let cold = entry.server.cold_until.is_some_and(|until| until > now);
     let cold = if cold { COLD_WEIGHT } else { 0.0 };
-    let pace = f64::from(load.pace_percent) / 100.0 * (1.0 + crowding) * (1.0 + cold);
+    let pace = f64::from(load.pace_percent) / 100.0 * crowding * (1.0 + spread) * (1.0 + cold);
     let rounds = 1.0 + f64::from(ahead) / f64::from(slots);
     let expected = search.work.mul_f64(pace * rounds);
     let crossing = if entry.server.near {
@@ -451,6 +459,7 @@
         server: key,
         expected,
         has_slot: ahead == 0,
+        fills,
         pace_percent: load.pace_percent,
         rank,
     })
--- a/crates/place/src/work.rs
+++ b/crates/place/src/work.rs
@@ -32,14 +32,19 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WorkEstimate {
     mean: Duration,
+    crowding: f64,
     answer_kb: f64,
 }
 
+/// How many times longer work takes on a server that it fills, at most.
+const MAX_CROWDING: f64 = 3.0;
+
 impl WorkEstimate {
     /// A first guess for a route whose answers should come within `objective`.
     pub fn from_objective(objective: Duration) -> Self {
         Self {
             mean: objective / FIRST_GUESS_PARTS,
+            crowding: 1.0,
             answer_kb: 0.0,
         }
     }
@@ -51,6 +56,19 @@
         self.mean = (self.mean * (MEMORY - 1) + usual) / MEMORY;
     }
 
+    /// Takes an answer as [`observe`](Self::observe) does, of a request that took the last slot.
+    pub fn observe_crowded(&mut self, elapsed: Duration, pace_percent: u32) {
+        let usual = elapsed * 100 / pace_percent.max(1);
+        let factor = usual.as_secs_f64() / self.mean.as_secs_f64().max(f64::MIN_POSITIVE);
+        let factor = factor.clamp(1.0, MAX_CROWDING);
+        self.crowding += (factor - self.crowding) / f64::from(MEMORY);
+    }
+
+    /// How many times longer work takes on a server that it fills; some servers are slower then.
+    pub fn crowding(&self) -> f64 {
+        self.crowding
+    }
+
     /// Takes the length of an answer in bytes.
     pub fn observe_length(&mut self, bytes: u64) {
         let memory = f64::from(MEMORY);
