Name large gates of large data centres; share questions by who meets callers

Change: callers of a host name are told 60% of the gates (12 at least) by weighted rendezvous; loads and sends go to eight of them; heartbeats grow rarer with the data centre; questions are shared by data centre, and at once when routes are known.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -1,6 +1,7 @@
 //! State that the tasks of one gate share.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -68,6 +69,12 @@
     pub(crate) contacts: RefCell<GateContacts>,
     /// Questions that may be asked.
     pub(crate) asks: RefCell<AskBudget>,
+    /// Gates of the data centre that meet its callers, by their addresses for datagrams.
+    pub(crate) group_peers: RefCell<Vec<SocketAddr>>,
+    /// Questions that the gates of the data centre may ask in a second.
+    near_asks: Cell<f64>,
+    /// This gate's part of them.
+    ask_share: Cell<f64>,
     /// Loads and sends that the other gates were not told yet.
     pub(crate) news: PendingNews,
     /// How far the list of servers is known.
@@ -109,6 +116,9 @@
             codec: ServiceConfig::default(),
             routes: RefCell::new(None),
             asks: RefCell::new(AskBudget::new(now)),
+            group_peers: RefCell::new(Vec::new()),
+            near_asks: Cell::new(0.0),
+            ask_share: Cell::new(0.0),
             news: PendingNews::default(),
             follow: ServerFollow::default(),
             services: RefCell::new(HashMap::new()),
@@ -180,7 +190,11 @@
                 cold_until: Some(cold_until).filter(|until| *until > now),
             });
         }
-        let total: usize = lists.values().map(Vec::len).sum();
+        let servers = lists.values().flatten();
+        let near = servers.filter(|server| server.near).count();
+        let near_asks = settings.bounds.asks_per_second * near as f64 * ASK_MARGIN;
+        self.near_asks.set(near_asks);
+        self.set_ask_share(self.ask_share.get());
         for name in lists.keys() {
             self.service(name);
         }
@@ -195,7 +209,9 @@
             }
         }
         *self.instances.borrow_mut() = instances;
-        self.refresh_shares(total);
+        drop(catalog);
+        self.refresh_shares();
+        self.refresh_groups(now);
     }
 
     /// The service and the place of a server that may get requests.
@@ -205,17 +221,22 @@
         Some((Rc::clone(service), *key))
     }
 
+    /// Takes this gate's part of the questions of its data centre.
+    pub(crate) fn set_ask_share(&self, share: f64) {
+        self.ask_share.set(share);
+        let rate = self.near_asks.get() * share;
+        self.asks.borrow_mut().set_rate(rate);
+    }
+
     /// Notes that the list of servers was read.
     pub(crate) fn set_servers_known(&self) {
         self.servers_known.set(true);
     }
 
     /// Takes the size of the fleet into all shares.
-    fn refresh_shares(&self, servers: usize) {
+    fn refresh_shares(&self) {
         let gates = self.fleet_size();
         let bounds = &self.settings().bounds;
-        let rate = bounds.asks_per_second * servers as f64 / gates as f64 * ASK_MARGIN;
-        self.asks.borrow_mut().set_rate(rate);
         let routes = self.routes();
         let mut shares = Vec::new();
         for (name, service) in self.services.borrow().iter() {
--- a/crates/edge/src/frames.rs
+++ b/crates/edge/src/frames.rs
@@ -17,6 +17,9 @@
     /// Whether the sender could read the store of late.
     #[prost(bool, tag = "2")]
     pub(crate) reads_store: bool,
+    /// Size of the sender's host, in a heartbeat.
+    #[prost(uint32, tag = "5")]
+    pub(crate) capacity: u32,
     /// Loads and sends.
     #[prost(message, optional, tag = "3")]
     pub(crate) news: Option<NewsBody>,
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use foldhash::HashMap;
-use ggs_member::{GateRecord, GateState, PeerNews};
+use ggs_member::{GateRecord, GateState, GroupCandidate, PeerNews};
 use ggs_model::{Clock, DataCentre, Moment};
 use ggs_observe::LogEvent;
 use ggs_peer::{PROTOCOL_VERSION, PeerHello, PeerMessage, decode_message, encode_message};
@@ -18,13 +18,17 @@
 
 use crate::core::EdgeCore;
 use crate::frames::Datagram;
-use crate::ports::{EdgeWire, FleetStore};
+use crate::ports::{EdgeWire, FleetStore, GateEntry};
 use crate::store_health::StoreHealth;
 
-/// Time between two datagrams to each gate of the data centre.
+/// Shortest time between two datagrams to each gate of the data centre.
 const HELLO_PERIOD: Duration = Duration::from_millis(500);
 
-/// Time without a datagram after which a gate is no longer handed out; three may be lost.
+/// Time for each gate of a large data centre by which the datagrams of one are apart.
+const HELLO_PERIOD_PER_GATE: Duration = Duration::from_millis(20);
+
+/// Time without a datagram after which a gate is no longer handed out; three may be lost, or two in a
+/// data centre of forty gates.
 pub(crate) const GATE_LEASE: Duration = Duration::from_millis(1_800);
 
 /// Time between two reads of the gates in the store.
@@ -47,6 +51,8 @@
     known_at: Moment,
     /// Whether the gate said that it could read the store of late.
     reads_store: bool,
+    /// Size of the gate's host.
+    capacity: u32,
 }
 
 /// Gates by the address for datagrams, this one included once it is registered.
@@ -57,12 +63,13 @@
 
 impl GateContacts {
     /// Takes what a gate said of itself, or what the store told.
-    pub(crate) fn note(&mut self, record: &GateRecord, now: Moment) {
+    pub(crate) fn note(&mut self, record: &GateRecord, capacity: u32, now: Moment) {
         let contact = GateContact {
             data_centre: record.data_centre.clone(),
             callers: record.callers,
             known_at: now,
             reads_store: self.reads_store(record.peers),
+            capacity,
         };
         self.contacts.insert(record.peers, contact);
     }
@@ -92,11 +99,28 @@
         contacts.map(|(address, _)| *address).collect()
     }
 
-    /// Addresses for callers of the gates in a data centre.
-    pub(crate) fn callers_of(&self, data_centre: &DataCentre) -> Vec<SocketAddr> {
+    /// Size of the gate at an address for datagrams; one if it is not known.
+    pub(crate) fn capacity_of(&self, address: SocketAddr) -> u32 {
+        let contact = self.contacts.get(&address);
+        contact.map_or(1, |contact| contact.capacity)
+    }
+
+    /// The gates in a data centre.
+    pub(crate) fn candidates_of(&self, data_centre: &DataCentre) -> Vec<GroupCandidate> {
         let contacts = self.contacts.values();
         let contacts = contacts.filter(|contact| contact.data_centre == *data_centre);
-        contacts.map(|contact| contact.callers).collect()
+        let candidates = contacts.map(|contact| GroupCandidate {
+            callers: contact.callers,
+            capacity: contact.capacity,
+        });
+        candidates.collect()
+    }
+
+    /// The address for datagrams of the gate that callers reach at an address.
+    pub(crate) fn peer_of(&self, callers: SocketAddr) -> Option<SocketAddr> {
+        let mut contacts = self.contacts.iter();
+        let contact = contacts.find(|(_, contact)| contact.callers == callers);
+        contact.map(|(address, _)| *address)
     }
 
     /// Addresses for callers of all gates.
@@ -122,7 +146,10 @@
     let mut registered = false;
     loop {
         if !registered && core.is_ready() {
-            let own = core.gates.borrow().own().clone();
+            let own = GateEntry {
+                record: core.gates.borrow().own().clone(),
+                capacity: core.settings().capacity(),
+            };
             match core.store.write_gate(&own).await {
                 Ok(()) => registered = true,
                 Err(error) => {
@@ -141,7 +168,7 @@
                 let now = core.clock.now();
                 let mut contacts = core.contacts.borrow_mut();
                 for gate in &gates {
-                    contacts.note(gate, now);
+                    contacts.note(&gate.record, gate.capacity, now);
                 }
                 drop(contacts);
                 core.refresh_services(now);
@@ -173,11 +200,11 @@
                 .emit(LogEvent::GateWithdrawn, "gate was not heard", pairs);
         }
         core.contacts.borrow_mut().forget(now);
+        core.refresh_groups(now);
         let sent = say_hello(&core, &socket).await;
-        let period = if sent == 0 {
-            ALONE_PERIOD
-        } else {
-            HELLO_PERIOD
+        let period = match sent {
+            0 => ALONE_PERIOD,
+            sent => HELLO_PERIOD.max(HELLO_PERIOD_PER_GATE * sent as u32),
         };
         sleep(period.mul_f64(rand::random_range(0.8..1.2))).await;
     }
@@ -208,6 +235,7 @@
     Datagram {
         peer: Some(encode_message(message)),
         reads_store: core.reads_store(),
+        capacity: core.settings().capacity(),
         ..Datagram::default()
     }
 }
@@ -221,12 +249,17 @@
     let settings = core.settings();
     let mut peers = core.contacts.borrow().peers_of(&settings.data_centre);
     peers.retain(|address| *address != settings.listen_gates);
+    send_to(socket, &peers, datagram).await;
+    peers.len()
+}
+
+/// Sends a datagram to each of some addresses.
+pub(crate) async fn send_to(socket: &UdpSocket, peers: &[SocketAddr], datagram: &Datagram) {
     let bytes = datagram.encode_to_vec();
-    for address in &peers {
+    for address in peers {
         // A datagram that is not sent counts as a lost one; the next follows soon.
         let _lost = socket.send_to(&bytes, address).await;
     }
-    peers.len()
 }
 
 /// Takes the datagrams of other gates.
@@ -264,7 +297,7 @@
     }
     if let Some(peer) = &datagram.peer {
         let message = decode_message(peer).map_err(|error| error.to_string())?;
-        take_message(core, message);
+        take_message(core, message, datagram.capacity);
     }
     let mut contacts = core.contacts.borrow_mut();
     contacts.note_reads(sender, datagram.reads_store);
@@ -272,11 +305,13 @@
 }
 
 /// Takes a heartbeat or a goodbye.
-fn take_message<W, S>(core: &EdgeCore<W, S>, message: PeerMessage) {
+fn take_message<W, S>(core: &EdgeCore<W, S>, message: PeerMessage, capacity: u32) {
     let now = core.clock.now();
     match message {
         PeerMessage::Hello(hello) if hello.version == PROTOCOL_VERSION => {
-            core.contacts.borrow_mut().note(&hello.record, now);
+            let mut contacts = core.contacts.borrow_mut();
+            contacts.note(&hello.record, capacity, now);
+            drop(contacts);
             let gate = hello.record.gate.to_string();
             let news = core.gates.borrow_mut().hear(hello.record, now);
             if matches!(news, PeerNews::Joined | PeerNews::Back) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,7 +31,7 @@
 pub use catalog::{CatalogNews, ServerCatalog};
 pub use ports::{
     EdgeWire, EntryAnswer, EntryQuestion, FeedChange, FeedCursor, FeedPage, FeedValue, FleetError,
-    FleetStore, ServerRecord, SettingsSource, WireHeaders,
+    FleetStore, GateEntry, ServerRecord, SettingsSource, WireHeaders,
 };
 pub use program::run;
 pub use settings::{EdgeBounds, EdgeSettings};
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -118,7 +118,7 @@
     let Some(question) = core.wire.read_entry_question(request.uri()) else {
         return empty(StatusCode::NOT_FOUND);
     };
-    let Some(answer) = entry_answer(core, &question.data_centre) else {
+    let Some(answer) = entry_answer(core, &question) else {
         return empty(StatusCode::SERVICE_UNAVAILABLE);
     };
     let body = core.wire.write_entry_answer(&answer);
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -15,7 +15,7 @@
 
 use crate::core::EdgeCore;
 use crate::frames::{Datagram, LoadBody, NewsBody};
-use crate::gates::send_to_near;
+use crate::gates::send_to;
 use crate::ports::EdgeWire;
 use crate::service::ServiceState;
 
@@ -97,6 +97,7 @@
             reads_store: core.reads_store(),
             ..Datagram::default()
         };
-        send_to_near(&core, &socket, &datagram).await;
+        let peers = core.group_peers.borrow().clone();
+        send_to(&socket, &peers, &datagram).await;
     }
 }
--- a/crates/edge/src/ports.rs
+++ b/crates/edge/src/ports.rs
@@ -35,6 +35,8 @@
 /// A caller's question for gates.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct EntryQuestion {
+    /// Host name that the caller wants to reach.
+    pub host: String,
     /// Data centre of the caller.
     pub data_centre: DataCentre,
 }
@@ -132,6 +134,15 @@
     pub cold_left: Duration,
 }
 
+/// A gate as it registered itself.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GateEntry {
+    /// Who it is and where it is reached.
+    pub record: GateRecord,
+    /// Its size, relative to the others.
+    pub capacity: u32,
+}
+
 /// Why a call to the store has no result.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetError {
@@ -189,10 +200,10 @@
     ) -> impl Future<Output = Result<FeedPage<ServerRecord>, FleetError>>;
 
     /// Reads the gates that registered themselves.
-    fn read_gates(&self) -> impl Future<Output = Result<Vec<GateRecord>, FleetError>>;
+    fn read_gates(&self) -> impl Future<Output = Result<Vec<GateEntry>, FleetError>>;
 
     /// Registers a gate.
-    fn write_gate(&self, gate: &GateRecord) -> impl Future<Output = Result<(), FleetError>>;
+    fn write_gate(&self, gate: &GateEntry) -> impl Future<Output = Result<(), FleetError>>;
 
     /// Removes a gate.
     fn remove_gate(&self, host: &HostName) -> impl Future<Output = Result<(), FleetError>>;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -37,6 +37,10 @@
     pub listen_entries: SocketAddr,
     /// Where other gates send datagrams.
     pub listen_gates: SocketAddr,
+    /// Part of a core that the host has.
+    pub cpu_share: f64,
+    /// Megabits a second of the host's own link.
+    pub link_mbps: f64,
     /// The platform's store.
     pub store: SocketAddr,
     /// Time between two writes of a server to its row in the store.
@@ -44,3 +48,17 @@
     /// Bounds of the fleet.
     pub bounds: EdgeBounds,
 }
+
+/// Part of a core that a host of size one has; the smallest of the fleets in use.
+const UNIT_CPU_SHARE: f64 = 0.1;
+
+/// Megabits a second that a host of size one has; the smallest of the fleets in use.
+const UNIT_LINK_MBPS: f64 = 10.0;
+
+impl EdgeSettings {
+    /// Size of the host: how many times that of the smallest its scarcest part is.
+    pub fn capacity(&self) -> u32 {
+        let parts = (self.cpu_share / UNIT_CPU_SHARE).min(self.link_mbps / UNIT_LINK_MBPS);
+        (parts.round() as u32).max(1)
+    }
+}
--- /dev/null
+++ b/crates/member/tests/group.rs
@@ -0,0 +1,79 @@
+//! Groups of gates: their size, how they move when gates come and go, and the part of large gates.
+
+use std::net::SocketAddr;
+
+use ggs_member::{GroupCandidate, choose_group};
+
+/// Host names over which shares are counted.
+const HOSTS: usize = 400;
+
+/// Gates with these capacities.
+fn candidates(capacities: &[u32]) -> Vec<GroupCandidate> {
+    let numbered = capacities.iter().enumerate();
+    let candidates = numbered.map(|(index, capacity)| GroupCandidate {
+        callers: SocketAddr::from(([10, 0, 0, 1], 1_000 + index as u16)),
+        capacity: *capacity,
+    });
+    candidates.collect()
+}
+
+/// A number of gates and the size of their groups.
+struct SizeCase {
+    gates: usize,
+    group: usize,
+}
+
+#[test]
+fn groups_spare_gates_of_large_data_centres_only() {
+    let cases = [
+        SizeCase { gates: 0, group: 0 },
+        SizeCase { gates: 1, group: 1 },
+        SizeCase { gates: 2, group: 2 },
+        SizeCase { gates: 8, group: 8 },
+        SizeCase {
+            gates: 13,
+            group: 12,
+        },
+        SizeCase {
+            gates: 43,
+            group: 25,
+        },
+    ];
+    for case in cases {
+        let group = choose_group("shop.example", &candidates(&vec![1; case.gates]));
+        assert_eq!(group.len(), case.group, "{} gates", case.gates);
+    }
+}
+
+#[test]
+fn a_gate_that_leaves_moves_only_its_own_callers() {
+    let all = candidates(&[1; 40]);
+    for index in 0..HOSTS {
+        let host = format!("host-{index}");
+        let before = choose_group(&host, &all);
+        let mut rest = all.clone();
+        let gone = rest.remove(index % all.len());
+        let after = choose_group(&host, &rest);
+        // The group of one gate fewer may be one smaller.
+        let kept = before.iter().filter(|callers| **callers != gone.callers);
+        let lost = kept.filter(|callers| !after.contains(callers)).count();
+        let smaller = before.len() - after.len();
+        assert!(lost <= smaller, "{host}: {lost} gates lost their callers");
+    }
+}
+
+#[test]
+fn large_gates_are_chosen_before_small_ones() {
+    let all = candidates(&[[1; 50], [5; 50]].concat());
+    let mut large = 0;
+    let mut total = 0;
+    for index in 0..HOSTS {
+        for callers in choose_group(&format!("host-{index}"), &all) {
+            total += 1;
+            large += usize::from(callers.port() >= 1_050);
+        }
+    }
+    let share = large as f64 / total as f64;
+    // Of sixty places, fifty would go to the large gates if none were left to chance.
+    assert!((0.7..0.84).contains(&share), "large gates take {share}");
+}
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -97,9 +97,9 @@
         self.services.values()
     }
 
-    /// Whether any route names this host.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.hosts.contains_key(host)
+    /// The hosts that routes name.
+    pub fn hosts(&self) -> impl Iterator<Item = &str> {
+        self.hosts.keys().map(|host| &**host)
     }
 
     /// The route with the longest prefix of `path` among those of `host`.
