--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -12,8 +12,8 @@
 /// Gates of a group, in percent of those that live in the data centre.
 const GROUP_PERCENT: usize = 60;
 
-/// Gates of a group at least: of a dozen, the loss of one moves few callers.
-const MIN_GROUP: usize = 12;
+/// Gates of a group at least: with few, the loss of one would move many callers.
+const MIN_GROUP: usize = 4;
 
 /// A gate that may be chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
