--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -42,6 +42,9 @@
 /// Longest time for a new connection to a server.
 const CONNECT_TIME: std::time::Duration = std::time::Duration::from_millis(120);
 
+/// Where a server is found: its service, and its key on the service's board.
+type ServerPlace = (Rc<ServiceState>, ServerKey);
+
 /// State of one gate.
 #[derive(Debug)]
 pub(crate) struct EdgeCore<W, S> {
@@ -81,7 +84,7 @@
     pub(crate) follow: ServerFollow,
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
     /// Servers by the name of their run.
-    instances: RefCell<HashMap<Arc<str>, (Rc<ServiceState>, ServerKey)>>,
+    instances: RefCell<HashMap<Arc<str>, ServerPlace>>,
     servers_known: Cell<bool>,
     draining: Cell<bool>,
 }
@@ -215,7 +218,7 @@
     }
 
     /// The service and the place of a server that may get requests.
-    pub(crate) fn find_server(&self, instance: &str) -> Option<(Rc<ServiceState>, ServerKey)> {
+    pub(crate) fn find_server(&self, instance: &str) -> Option<ServerPlace> {
         let instances = self.instances.borrow();
         let (service, key) = instances.get(instance)?;
         Some((Rc::clone(service), *key))
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -320,7 +320,8 @@
             }
         }
         PeerMessage::Goodbye(gate) => {
-            if core.gates.borrow_mut().goodbye(&gate) {
+            let known = core.gates.borrow_mut().goodbye(&gate);
+            if known {
                 let pairs = slog::o!("gate" => gate.to_string());
                 core.log.emit(LogEvent::GateLeft, "gate leaves", pairs);
             }
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -315,9 +315,10 @@
         AskScope::Near => NEAR_ASKS,
         AskScope::Far => FAR_ASKS,
     };
-    let mut board = service.board.borrow_mut();
-    let mut plan = board.stale(count, scope, since, now);
-    drop(board);
+    let mut plan = {
+        let mut board = service.board.borrow_mut();
+        board.stale(count, scope, since, now)
+    };
     let granted = core.asks.borrow_mut().take(plan.len(), now);
     plan.truncate(granted);
     ask::ask(core, service, &plan, path).await;
