Let one gate of a data centre wait for configurations and hand them on

Change: the gate that reads for its data centre waits at the store and tells the version in its datagrams; the others read the text from it, and from the store when that fails or the reader falls silent.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -1,79 +1,232 @@
 //! Tasks that follow configurations and settings.
 
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::header::{HOST, HeaderValue};
+use actix_http::{RequestHead, StatusCode};
+use bytes::Bytes;
 use ggs_model::Clock;
 use ggs_observe::LogEvent;
+use ggs_relay::{FailureKind, ServerConnection};
 use ggs_route::{RouteConfig, RouteTable};
-use tokio::time::sleep;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 
 use crate::core::EdgeCore;
-use crate::ports::{EdgeWire, FeedPage, FeedValue, FleetError, FleetStore, SettingsSource};
+use crate::frames::Datagram;
+use crate::gates::send_to_near;
+use crate::ports::{
+    EdgeWire, FeedCursor, FeedPage, FeedValue, FleetError, FleetStore, SettingsSource,
+};
 use crate::store_health::StoreHealth;
 
 /// Longest wait of a read for the next configuration.
-const CONFIG_WAIT: Duration = Duration::from_secs(25);
+const CONFIG_WAIT: Duration = Duration::from_secs(30);
+
+/// Pause between reads while there is no configuration yet.
+const FIRST_CONFIG_PAUSE: Duration = Duration::from_millis(100);
+
+/// Time between two looks at whether this gate reads for its data centre.
+const ROLE_CHECK: Duration = Duration::from_millis(500);
+
+/// Time for a read from another gate of the data centre.
+const GATE_READ_TIME: Duration = Duration::from_millis(300);
+
+/// Longest configuration that is read from another gate, in bytes.
+const MAX_CONFIG_BYTES: usize = 1 << 20;
 
 /// Time between two looks at the settings.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(3);
 
-/// Follows configurations.
-pub(crate) async fn follow_configs<W, S>(core: Rc<EdgeCore<W, S>>)
+/// A configuration as it was read.
+#[derive(Clone, Debug)]
+pub(crate) struct ConfigText {
+    /// Its version.
+    version: u64,
+    /// What the operator wrote.
+    bytes: Bytes,
+}
+
+/// How far configurations are known.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigFollow {
+    /// Place in the feed.
+    cursor: Cell<Option<FeedCursor>>,
+    /// The configuration in force, for other gates.
+    text: RefCell<Option<ConfigText>>,
+    /// A newer version than the one in force, and the gate that has it.
+    offered: Cell<Option<(u64, SocketAddr)>>,
+    /// Whether this gate has to read the store itself.
+    due: Cell<bool>,
+    told: Notify,
+}
+
+impl ConfigFollow {
+    /// The version in force; zero if there is none.
+    pub(crate) fn version(&self) -> u64 {
+        let text = self.text.borrow();
+        text.as_ref().map_or(0, |text| text.version)
+    }
+
+    /// What the operator wrote, of the configuration in force.
+    pub(crate) fn bytes(&self) -> Option<Bytes> {
+        let text = self.text.borrow();
+        text.as_ref().map(|text| text.bytes.clone())
+    }
+
+    /// Takes that the gate at `address` has `version` in force.
+    pub(crate) fn hear_version(&self, version: u64, address: SocketAddr) {
+        if version > self.version() {
+            self.offered.set(Some((version, address)));
+            self.told.notify_one();
+        }
+    }
+
+    /// Lets this gate read the store itself, as no other told it anything in time.
+    pub(crate) fn set_due(&self) {
+        self.due.set(true);
+        self.told.notify_one();
+    }
+}
+
+/// Follows configurations: the gate that reads for its data centre waits for them at the store, the
+/// others read them from it. A gate that is not told anything in time reads the store itself.
+pub(crate) async fn follow_configs<W, S>(core: Rc<EdgeCore<W, S>>, socket: Rc<UdpSocket>)
 where
     W: EdgeWire,
     S: FleetStore,
 {
     let mut health = StoreHealth::new(&core.log, "configurations");
-    let mut cursor = None;
     loop {
-        match core.store.read_configs(cursor, CONFIG_WAIT).await {
+        if let Some((_, address)) = core.configs.offered.take()
+            && read_from_gate(&core, address).await
+        {
+            continue;
+        }
+        let now = core.clock.now();
+        let known = core.routes().is_some();
+        let waits = !known || core.is_reader(now);
+        if !waits && !core.configs.due.take() {
+            // Woken or not, the loop decides anew.
+            let _woken = timeout(ROLE_CHECK, core.configs.told.notified()).await;
+            continue;
+        }
+        let cursor = core.configs.cursor.get();
+        let wait = if waits { CONFIG_WAIT } else { Duration::ZERO };
+        match core.store.read_configs(cursor, wait).await {
             Ok(page) => {
                 health.succeeded();
-                cursor = Some(page.cursor);
+                core.configs.cursor.set(Some(page.cursor));
                 take_configs(&core, page);
                 if core.routes().is_none() {
                     sleep(FIRST_CONFIG_PAUSE).await;
                 }
+                if core.is_reader(core.clock.now()) {
+                    tell_version(&core, &socket).await;
+                }
             }
-            Err(FleetError::HistoryLost) => cursor = None,
+            Err(FleetError::HistoryLost) => core.configs.cursor.set(None),
             Err(error) => sleep(health.failed(&error)).await,
         }
     }
 }
 
-/// Pause between reads while there is no configuration yet.
-const FIRST_CONFIG_PAUSE: Duration = Duration::from_millis(100);
+/// Tells the gates of the data centre which version is in force here.
+async fn tell_version<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) {
+    let datagram = Datagram {
+        config_version: core.configs.version(),
+        reads_store: true,
+        ..Datagram::default()
+    };
+    send_to_near(core, socket, &datagram).await;
+}
 
-/// Puts the newest configuration of a page in force.
-fn take_configs<W, S>(core: &EdgeCore<W, S>, page: FeedPage<RouteConfig>) {
+/// Reads the configuration in force at another gate; false if that failed.
+async fn read_from_gate<W, S>(core: &EdgeCore<W, S>, address: SocketAddr) -> bool
+where
+    W: EdgeWire,
+{
+    let read = timeout(GATE_READ_TIME, fetch(core, address)).await;
+    let read = read.unwrap_or(Err(FailureKind::AnswerTimeout));
+    let bytes = match read {
+        Ok(bytes) => bytes,
+        Err(cause) => {
+            let pairs = slog::o!("gate" => address.to_string(), "cause" => cause.to_string());
+            let message = "configuration is read from the store instead";
+            core.log.emit(LogEvent::PeerLinkEnded, message, pairs);
+            core.configs.set_due();
+            return false;
+        }
+    };
+    take_config(core, bytes);
+    true
+}
+
+/// Asks another gate for its configuration.
+async fn fetch<W, S>(core: &EdgeCore<W, S>, address: SocketAddr) -> Result<Bytes, FailureKind> {
+    let options = core.pool.options();
+    let connection = ServerConnection::open(address, options, &core.codec).await;
+    let mut connection = connection.map_err(|_| FailureKind::ConnectFailed)?;
+    let mut head = RequestHead::default();
+    if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
+        head.headers.insert(HOST, host);
+    }
+    let sent = connection.send(head, &Bytes::new()).await;
+    sent.map_err(|_| FailureKind::ConnectionLost)?;
+    let head = connection.read_head().await?;
+    if head.status != StatusCode::OK {
+        return Err(FailureKind::Refused);
+    }
+    connection.read_whole_body(MAX_CONFIG_BYTES).await
+}
+
+/// Takes the configurations of a page.
+fn take_configs<W, S>(core: &EdgeCore<W, S>, page: FeedPage<Bytes>)
+where
+    W: EdgeWire,
+{
     for change in page.changes {
         match change.value {
-            FeedValue::Present(config) => put_in_force(core, config),
-            FeedValue::Removed => {
-                let cause = "the row was removed";
-                let pairs = slog::o!("key" => change.key.to_string(), "cause" => cause);
-                let message = "configuration in force stays";
-                core.log.emit(LogEvent::ConfigUnreadable, message, pairs);
-            }
-            FeedValue::Unreadable(cause) => {
-                let pairs = slog::o!("key" => change.key.to_string(), "cause" => cause);
-                let message = "configuration in force stays";
-                core.log.emit(LogEvent::ConfigUnreadable, message, pairs);
-            }
+            FeedValue::Present(bytes) => take_config(core, bytes),
+            FeedValue::Removed => report_unreadable(core, "the row was removed"),
+            FeedValue::Unreadable(cause) => report_unreadable(core, &cause),
         }
     }
 }
 
-/// Puts a configuration in force unless a newer one already is.
-fn put_in_force<W, S>(core: &EdgeCore<W, S>, config: RouteConfig) {
-    let before = core.routes().map(|routes| routes.version());
-    if before.is_some_and(|before| before >= config.version) {
-        return;
+/// Puts a configuration in force if it can be read and is newer.
+fn take_config<W, S>(core: &EdgeCore<W, S>, bytes: Bytes)
+where
+    W: EdgeWire,
+{
+    match core.wire.read_config(&bytes) {
+        Ok(config) if config.version > core.configs.version() => {
+            let version = config.version;
+            put_in_force(core, config);
+            *core.configs.text.borrow_mut() = Some(ConfigText { version, bytes });
+        }
+        // An older one never comes back into force.
+        Ok(_) => {}
+        Err(cause) => report_unreadable(core, &cause),
     }
+}
+
+/// Logs that a configuration could not be read.
+fn report_unreadable<W, S>(core: &EdgeCore<W, S>, cause: &str) {
+    let pairs = slog::o!("cause" => cause.to_owned(), "in_force" => core.configs.version());
+    let message = "configuration in force stays";
+    core.log.emit(LogEvent::ConfigUnreadable, message, pairs);
+}
+
+/// Puts a configuration in force.
+fn put_in_force<W, S>(core: &EdgeCore<W, S>, config: RouteConfig) {
     let pairs = slog::o!(
         "version" => config.version,
-        "before" => before.unwrap_or_default(),
+        "before" => core.configs.version(),
         "routes" => config.routes.len(),
     );
     let table = RouteTable::new(config, rand::random());
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -16,6 +16,7 @@
 use ggs_route::RouteTable;
 
 use crate::catalog::ServerCatalog;
+use crate::config::ConfigFollow;
 use crate::gates::{GATE_LEASE, GateContacts};
 use crate::news::PendingNews;
 use crate::servers::ServerFollow;
@@ -80,6 +81,8 @@
     ask_share: Cell<f64>,
     /// Loads and sends that the other gates were not told yet.
     pub(crate) news: PendingNews,
+    /// How far configurations are known.
+    pub(crate) configs: ConfigFollow,
     /// How far the list of servers is known.
     pub(crate) follow: ServerFollow,
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
@@ -123,6 +126,7 @@
             near_asks: Cell::new(0.0),
             ask_share: Cell::new(0.0),
             news: PendingNews::default(),
+            configs: ConfigFollow::default(),
             follow: ServerFollow::default(),
             services: RefCell::new(HashMap::new()),
             instances: RefCell::new(HashMap::new()),
--- a/crates/edge/src/frames.rs
+++ b/crates/edge/src/frames.rs
@@ -20,6 +20,9 @@
     /// Size of the sender's host, in a heartbeat.
     #[prost(uint32, tag = "5")]
     pub(crate) capacity: u32,
+    /// Version of the configuration in force at the sender; zero if the datagram does not tell.
+    #[prost(uint64, tag = "6")]
+    pub(crate) config_version: u64,
     /// Loads and sends.
     #[prost(message, optional, tag = "3")]
     pub(crate) news: Option<NewsBody>,
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -32,7 +32,7 @@
 pub(crate) const GATE_LEASE: Duration = Duration::from_millis(1_800);
 
 /// Time between two reads of the gates in the store.
-const STORE_PERIOD: Duration = Duration::from_secs(20);
+const STORE_PERIOD: Duration = Duration::from_secs(40);
 
 /// Time between two rounds of datagrams while a gate knows no other.
 const ALONE_PERIOD: Duration = Duration::from_secs(2);
@@ -299,6 +299,7 @@
         let message = decode_message(peer).map_err(|error| error.to_string())?;
         take_message(core, message, datagram.capacity);
     }
+    core.configs.hear_version(datagram.config_version, sender);
     let mut contacts = core.contacts.borrow_mut();
     contacts.note_reads(sender, datagram.reads_store);
     Ok(())
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -1,4 +1,4 @@
-//! The ports of a gate: callers, readiness, and questions for gates.
+//! The ports of a gate: callers, readiness, questions for gates, and other gates.
 
 use std::cell::Cell;
 use std::convert::Infallible;
@@ -109,6 +109,29 @@
     accept(listener, OpenCallers::default(), stop, log, handler).await;
 }
 
+/// Answers other gates that want the configuration in force.
+pub(crate) async fn serve_configs<W, S>(
+    core: Rc<EdgeCore<W, S>>,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+) where
+    W: EdgeWire,
+    S: 'static,
+{
+    let log = core.log.clone();
+    let handler = move |_: Request| {
+        let response = match core.configs.bytes() {
+            Some(bytes) => Response::with_body(StatusCode::OK, EdgeBody::whole(bytes)),
+            None => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                Response::with_body(status, EdgeBody::whole(Bytes::new()))
+            }
+        };
+        std::future::ready(response)
+    };
+    accept(listener, OpenCallers::default(), stop, log, handler).await;
+}
+
 /// The answer to a question for gates.
 fn answer_question<W, S>(core: &EdgeCore<W, S>, request: &Request) -> Response<EdgeBody>
 where
--- a/crates/edge/src/ports.rs
+++ b/crates/edge/src/ports.rs
@@ -64,6 +64,13 @@
     /// The body of an answer to such a question, in JSON.
     fn write_entry_answer(&self, answer: &EntryAnswer) -> Bytes;
 
+    /// Reads a configuration as the operator wrote it.
+    ///
+    /// # Errors
+    ///
+    /// Names the route and the field that cannot be used.
+    fn read_config(&self, bytes: &[u8]) -> Result<RouteConfig, String>;
+
     /// The load that a server tells in its headers.
     fn read_load(&self, headers: &HeaderMap) -> Option<LoadSample>;
 }
@@ -185,12 +192,12 @@
 /// A read with a cursor returns what changed since, after at most `wait` if nothing does; a read
 /// without one returns all rows at once.
 pub trait FleetStore: Clone + 'static {
-    /// Reads configurations.
+    /// Reads configurations, as the operator wrote them.
     fn read_configs(
         &self,
         after: Option<FeedCursor>,
         wait: Duration,
-    ) -> impl Future<Output = Result<FeedPage<RouteConfig>, FleetError>>;
+    ) -> impl Future<Output = Result<FeedPage<Bytes>, FleetError>>;
 
     /// Reads servers.
     fn read_servers(
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -23,10 +23,10 @@
 
 /// Time between two reads of the gate that reads for its data centre, in percent of the time in which
 /// a leaving server may still get requests.
-const READ_PERCENT: u32 = 45;
+const READ_PERCENT: u32 = 55;
 
 /// Time without a word after which a gate reads itself, in percent of the same.
-const SILENCE_PERCENT: u32 = 68;
+const SILENCE_PERCENT: u32 = 78;
 
 /// Shortest pause between two reads.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
@@ -64,8 +64,14 @@
         !self.follow.failing.get() && self.follow.cursor.get().is_some()
     }
 
+    /// When this gate was told too little of the list of servers and has to read itself.
+    fn silent_at(&self) -> Moment {
+        let drain = self.settings().bounds.server_drain;
+        self.follow.known_at.get() + drain * SILENCE_PERCENT / 100
+    }
+
     /// Whether this gate reads for its data centre.
-    fn is_reader(&self, now: Moment) -> bool {
+    pub(crate) fn is_reader(&self, now: Moment) -> bool {
         if !self.is_ready() {
             return false;
         }
@@ -204,6 +210,7 @@
     let digest = core.catalog.borrow().digest();
     let datagram = Datagram {
         servers: Some(ServersBody::new(after, cursor, digest, &changes)),
+        config_version: core.configs.version(),
         reads_store: true,
         ..Datagram::default()
     };
@@ -215,16 +222,18 @@
     let drain = core.settings().bounds.server_drain;
     loop {
         let now = core.clock.now();
-        let percent = if core.is_reader(now) {
-            READ_PERCENT
+        let due = if core.is_reader(now) {
+            core.follow.known_at.get() + drain * READ_PERCENT / 100
         } else {
-            SILENCE_PERCENT
+            core.silent_at()
         };
-        let due = core.follow.known_at.get() + drain * percent / 100;
         let expiry = core.catalog.borrow().next_expiry();
         let due = expiry.map_or(due, |expiry| due.min(expiry));
         let pause = due.since(now);
         if pause.is_zero() || core.follow.differs.get() {
+            if !core.is_reader(now) {
+                core.configs.set_due();
+            }
             // A list that goes on to differ must not make reads follow one another at once.
             tokio::time::sleep(MIN_PAUSE).await;
             return;
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -9,7 +9,7 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use ggs_model::{HeaderNames, Moment};
 use rustix::net::sockopt;
@@ -249,6 +249,29 @@
         Err(FailureKind::BadAnswer)
     }
 
+    /// Reads the body of an answer that ends the connection's use.
+    ///
+    /// # Errors
+    ///
+    /// The connection ended before the body did, or the body is longer than `limit`.
+    pub async fn read_whole_body(self, limit: usize) -> Result<Bytes, FailureKind> {
+        let mut whole = BytesMut::new();
+        if !self.has_body() {
+            return Ok(whole.freeze());
+        }
+        let mut framed = self.framed.map_codec(ClientCodec::into_payload_codec);
+        while let Some(chunk) = framed.next().await {
+            match chunk.map_err(|_| FailureKind::ConnectionLost)? {
+                None => return Ok(whole.freeze()),
+                Some(chunk) if whole.len() + chunk.len() > limit => {
+                    return Err(FailureKind::BadAnswer);
+                }
+                Some(chunk) => whole.extend_from_slice(&chunk),
+            }
+        }
+        Err(FailureKind::ConnectionLost)
+    }
+
     /// Reads the rest of an answer that is not wanted.
     ///
     /// # Errors
