--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -159,6 +159,13 @@
         service
     }
 
+    /// Requests that servers work on for this gate.
+    pub(crate) fn requests_at_servers(&self) -> usize {
+        let services = self.services.borrow();
+        let boards = services.values().map(|service| service.board.borrow());
+        boards.map(|board| board.in_flight()).sum()
+    }
+
     /// Gates of the fleet, this one included.
     pub(crate) fn fleet_size(&self) -> usize {
         self.contacts.borrow().fleet_size().max(1)
--- /dev/null
+++ b/crates/edge/src/handle.rs
@@ -0,0 +1,148 @@
+//! Start and end of a gate.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use ggs_observe::{EventLog, LogEvent};
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::signal::unix::Signal;
+use tokio::sync::watch;
+
+use crate::config::{follow_configs, follow_settings};
+use crate::core::EdgeCore;
+use crate::drain::drain;
+use crate::gates;
+use crate::listen::{OpenCallers, serve_callers, serve_configs, serve_entries, serve_ready};
+use crate::news;
+use crate::ports::{EdgeWire, FleetStore, SettingsSource};
+use crate::servers::follow_servers;
+use crate::settings::EdgeSettings;
+
+/// Why a gate did not start.
+#[derive(Debug)]
+pub enum EdgeError {
+    /// An address could not be bound.
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        cause: io::Error,
+    },
+}
+
+impl fmt::Display for EdgeError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind { address, cause } => {
+                write!(formatter, "address {address} cannot be bound: {cause}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for EdgeError {}
+
+/// A running gate.
+#[derive(Debug)]
+pub struct EdgeHandle<W, S> {
+    core: Rc<EdgeCore<W, S>>,
+    socket: Rc<UdpSocket>,
+    open: OpenCallers,
+    stop: watch::Sender<bool>,
+    finish: watch::Sender<bool>,
+}
+
+/// Starts a gate on the current actix-rt runtime.
+///
+/// # Errors
+///
+/// Fails when an address cannot be bound.
+pub async fn start<W, S>(
+    settings: EdgeSettings,
+    wire: W,
+    store: S,
+    log: EventLog,
+) -> Result<EdgeHandle<W, S>, EdgeError>
+where
+    W: EdgeWire,
+    S: FleetStore,
+{
+    let core = EdgeCore::new(settings, wire, store, log);
+    let settings = core.settings();
+    let callers = bind(&core.log, settings.listen_callers).await?;
+    let ready = bind(&core.log, settings.listen_ready).await?;
+    let entries = bind(&core.log, settings.listen_entries).await?;
+    let configs = bind(&core.log, settings.listen_gates).await?;
+    let socket = UdpSocket::bind(settings.listen_gates).await;
+    let socket = socket.map_err(|cause| bind_failed(&core.log, settings.listen_gates, cause))?;
+    let socket = Rc::new(socket);
+    let (stop, stopped) = watch::channel(false);
+    let (finish, finished) = watch::channel(false);
+    let open = OpenCallers::default();
+    let own = Rc::clone;
+    actix_rt::spawn(serve_callers(own(&core), callers, open.clone(), stopped));
+    actix_rt::spawn(serve_ready(own(&core), ready, finished.clone()));
+    actix_rt::spawn(serve_entries(own(&core), entries, finished.clone()));
+    actix_rt::spawn(serve_configs(own(&core), configs, finished));
+    actix_rt::spawn(follow_configs(own(&core), Rc::clone(&socket)));
+    actix_rt::spawn(follow_servers(own(&core), Rc::clone(&socket)));
+    actix_rt::spawn(news::spread(own(&core), Rc::clone(&socket)));
+    actix_rt::spawn(gates::follow_store(own(&core)));
+    actix_rt::spawn(gates::announce(own(&core), Rc::clone(&socket)));
+    actix_rt::spawn(gates::hear(own(&core), Rc::clone(&socket)));
+    let pairs = slog::o!("callers" => settings.listen_callers.to_string());
+    core.log.emit(LogEvent::GateStarted, "gate listens", pairs);
+    Ok(EdgeHandle {
+        core,
+        socket,
+        open,
+        stop,
+        finish,
+    })
+}
+
+impl<W, S> EdgeHandle<W, S>
+where
+    W: EdgeWire,
+    S: FleetStore,
+{
+    /// Whether the gate knows routes and servers and does not drain.
+    pub fn is_ready(&self) -> bool {
+        self.core.is_ready()
+    }
+
+    /// Requests that servers work on for this gate.
+    pub fn requests_at_servers(&self) -> usize {
+        self.core.requests_at_servers()
+    }
+
+    /// Looks at the settings again whenever `signal` yields, and from time to time.
+    pub fn follow_settings<P>(&self, source: P, signal: Signal)
+    where
+        P: SettingsSource,
+    {
+        actix_rt::spawn(follow_settings(Rc::clone(&self.core), source, signal));
+    }
+
+    /// Drains the gate; returns once it has finished its requests or its grace has run out.
+    pub async fn drain(self) {
+        drain(&self.core, &self.socket, &self.open, &self.stop).await;
+        // Without receivers nobody is left to be told.
+        let _unheard = self.finish.send(true);
+    }
+}
+
+/// Binds an address.
+async fn bind(log: &EventLog, address: SocketAddr) -> Result<TcpListener, EdgeError> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|cause| bind_failed(log, address, cause))
+}
+
+/// Logs that an address could not be bound.
+fn bind_failed(log: &EventLog, address: SocketAddr, cause: io::Error) -> EdgeError {
+    let pairs = slog::o!("address" => address.to_string(), "cause" => cause.to_string());
+    log.emit(LogEvent::BindFailed, "address cannot be bound", pairs);
+    EdgeError::Bind { address, cause }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod entries;
 mod frames;
 mod gates;
+mod handle;
 mod listen;
 mod news;
 mod ports;
@@ -29,6 +30,7 @@
 mod store_health;
 
 pub use catalog::{CatalogNews, ServerCatalog};
+pub use handle::{EdgeError, EdgeHandle, start};
 pub use ports::{
     EdgeWire, EntryAnswer, EntryQuestion, FeedChange, FeedCursor, FeedPage, FeedValue, FleetError,
     FleetStore, GateEntry, ServerRecord, SettingsSource, WireHeaders,
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -120,13 +120,14 @@
 {
     let log = core.log.clone();
     let handler = move |_: Request| {
-        let response = match core.configs.bytes() {
-            Some(bytes) => Response::with_body(StatusCode::OK, EdgeBody::whole(bytes)),
-            None => {
-                let status = StatusCode::SERVICE_UNAVAILABLE;
-                Response::with_body(status, EdgeBody::whole(Bytes::new()))
-            }
+        let bytes = core.configs.bytes();
+        let status = if bytes.is_some() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
         };
+        let body = EdgeBody::whole(bytes.unwrap_or_default());
+        let response = Response::with_body(status, body);
         std::future::ready(response)
     };
     accept(listener, OpenCallers::default(), stop, log, handler).await;
--- a/crates/edge/src/program.rs
+++ b/crates/edge/src/program.rs
@@ -3,25 +3,15 @@
 use std::ffi::OsString;
 use std::fmt::Display;
 use std::io;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
-use std::rc::Rc;
 
-use ggs_observe::{EventLog, LogEvent, LogFormat};
+use ggs_observe::{EventLog, LogFormat};
 use lexopt::prelude::{Long, Short};
-use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
-
-use crate::config::{follow_configs, follow_settings};
-use crate::core::EdgeCore;
-use crate::drain::drain;
-use crate::gates;
-use crate::listen::{OpenCallers, serve_callers, serve_configs, serve_entries, serve_ready};
-use crate::news;
+
+use crate::handle::start;
 use crate::ports::{EdgeWire, FleetStore, SettingsSource};
-use crate::servers::follow_servers;
 use crate::settings::EdgeSettings;
 
 /// The manual.
@@ -145,8 +135,7 @@
             return actix_rt::System::new().block_on(async move {
                 // Codecs keep the date with a task of their own, so they need the runtime.
                 let (wire, store) = connect(&settings);
-                let core = EdgeCore::new(settings, wire, store, log);
-                serve(core, source).await
+                serve(settings, source, wire, store, log).await
             });
         }
     }
@@ -187,59 +176,29 @@
 }
 
 /// Serves until a signal asks the gate to end, then drains.
-async fn serve<W, S, P>(core: Rc<EdgeCore<W, S>>, source: P) -> Result<(), EdgeExit>
+async fn serve<P, W, S>(
+    settings: EdgeSettings,
+    source: P,
+    wire: W,
+    store: S,
+    log: EventLog,
+) -> Result<(), EdgeExit>
 where
+    P: SettingsSource,
     W: EdgeWire,
     S: FleetStore,
-    P: SettingsSource,
 {
     let failed = |error: io::Error| EdgeExit::StartFailed.say(format_args!("signals: {error}"));
     let mut terminated = signal(SignalKind::terminate()).map_err(failed)?;
     let mut interrupted = signal(SignalKind::interrupt()).map_err(failed)?;
     let reload = signal(SignalKind::hangup()).map_err(failed)?;
-    let settings = core.settings();
-    let callers = bind(&core.log, settings.listen_callers).await?;
-    let ready = bind(&core.log, settings.listen_ready).await?;
-    let entries = bind(&core.log, settings.listen_entries).await?;
-    let socket = UdpSocket::bind(settings.listen_gates).await;
-    let socket = socket.map_err(|error| bind_failed(&core.log, settings.listen_gates, &error))?;
-    let socket = Rc::new(socket);
-    let configs = bind(&core.log, settings.listen_gates).await?;
-    let (stop, stopped) = watch::channel(false);
-    let (finish, finished) = watch::channel(false);
-    let open = OpenCallers::default();
-    let own = Rc::clone;
-    actix_rt::spawn(serve_callers(own(&core), callers, open.clone(), stopped));
-    actix_rt::spawn(serve_ready(own(&core), ready, finished.clone()));
-    actix_rt::spawn(serve_entries(own(&core), entries, finished.clone()));
-    actix_rt::spawn(serve_configs(own(&core), configs, finished));
-    actix_rt::spawn(follow_configs(own(&core), Rc::clone(&socket)));
-    actix_rt::spawn(follow_servers(own(&core), Rc::clone(&socket)));
-    actix_rt::spawn(news::spread(own(&core), Rc::clone(&socket)));
-    actix_rt::spawn(follow_settings(own(&core), source, reload));
-    actix_rt::spawn(gates::follow_store(own(&core)));
-    actix_rt::spawn(gates::announce(own(&core), Rc::clone(&socket)));
-    actix_rt::spawn(gates::hear(own(&core), Rc::clone(&socket)));
-    let pairs = slog::o!("callers" => settings.listen_callers.to_string());
-    core.log.emit(LogEvent::GateStarted, "gate listens", pairs);
+    let started = start(settings, wire, store, log).await;
+    let handle = started.map_err(|error| EdgeExit::StartFailed.say(error))?;
+    handle.follow_settings(source, reload);
     tokio::select! {
         _ = terminated.recv() => {}
         _ = interrupted.recv() => {}
     }
-    drain(&core, &socket, &open, &stop).await;
-    drop(finish);
+    handle.drain().await;
     Ok(())
 }
-
-/// Binds an address.
-async fn bind(log: &EventLog, address: SocketAddr) -> Result<TcpListener, EdgeExit> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|error| bind_failed(log, address, &error))
-}
-
-/// Logs and prints that an address could not be bound.
-fn bind_failed(log: &EventLog, address: SocketAddr, error: &io::Error) -> EdgeExit {
-    let pairs = slog::o!("address" => address.to_string(), "cause" => error.to_string());
-    log.emit(LogEvent::BindFailed, "address cannot be bound", pairs);
-    EdgeExit::StartFailed.say(format_args!("address {address} cannot be bound: {error}"))
-}
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -262,6 +262,12 @@
         }
     }
 
+    /// Requests that were started and have not ended.
+    pub fn in_flight(&self) -> usize {
+        let entries = self.entries.values();
+        entries.map(|entry| entry.in_flight as usize).sum()
+    }
+
     /// Number of servers.
     pub fn len(&self) -> usize {
         self.entries.len()
--- /dev/null
+++ b/crates/place/tests/load.rs
@@ -0,0 +1,342 @@
+//! What callers get under load: servers of three slots whose pace changes, in virtual time.
+//!
+//! A third of the servers work seven times as long at any moment, and each redraws its pace twice a
+//! second, as neighbours on shared machines make them. Questions are answered with the load at that
+//! moment. The same requests are played with the placement under test and with naive ones.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use ggs_model::Moment;
+use ggs_place::{
+    AskScope, AskStage, BoardServer, LoadSample, MoveFacts, NextMove, PlaceBoard, PlaceSearch,
+    SendOutcome, ServerKey, next_move,
+};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Servers of the service.
+const SERVERS: usize = 12;
+
+/// Slots of each.
+const SLOTS: u32 = 3;
+
+/// Work of a request on a server of the usual pace.
+const WORK: Duration = Duration::from_millis(60);
+
+/// Time within which callers want their answers.
+const OBJECTIVE: Duration = Duration::from_millis(200);
+
+/// Time after which callers leave.
+const DEADLINE: Duration = Duration::from_millis(500);
+
+/// Time between two changes of a server's pace.
+const PACE_PERIOD_MS: u64 = 500;
+
+/// Part of the objective up to which a refusal counts as prompt, one in this many.
+const PROMPT_PARTS: u32 = 8;
+
+/// Requests of a day.
+const REQUESTS: u64 = 6_000;
+
+/// Requests that a server queues; those beyond are dropped without a word.
+const QUEUE: usize = 6;
+
+/// One server.
+#[derive(Clone, Default)]
+struct SimServer {
+    /// When each request starts and ends.
+    requests: Vec<(Moment, Moment)>,
+    pace_percent: u32,
+}
+
+impl SimServer {
+    /// Requests that wait for a slot.
+    fn waiting(&self, now: Moment) -> usize {
+        let requests = self.requests.iter();
+        requests.filter(|(start, _)| *start > now).count()
+    }
+
+    /// When a slot is free for one more request.
+    fn free_at(&self, now: Moment) -> Moment {
+        let mut ends: Vec<_> = self.requests.iter().map(|(_, end)| *end).collect();
+        ends.sort_unstable();
+        let before = ends.len().checked_sub(SLOTS as usize);
+        before.map_or(now, |index| ends[index])
+    }
+}
+
+/// A fleet in virtual time.
+struct SimFleet {
+    servers: Vec<SimServer>,
+    now: Moment,
+    paced_until: Moment,
+    rng: SmallRng,
+}
+
+impl SimFleet {
+    fn new(seed: u64) -> Self {
+        let mut fleet = Self {
+            servers: vec![SimServer::default(); SERVERS],
+            now: Moment::ZERO,
+            paced_until: Moment::ZERO,
+            rng: SmallRng::seed_from_u64(seed),
+        };
+        fleet.redraw();
+        fleet
+    }
+
+    /// Draws the pace of all servers anew.
+    fn redraw(&mut self) {
+        for server in &mut self.servers {
+            let slow = self.rng.random_range(0..100) < 33;
+            server.pace_percent = if slow { 700 } else { 100 };
+        }
+    }
+
+    /// Lets time pass to `now`.
+    fn advance(&mut self, now: Moment) {
+        self.now = now;
+        while self.paced_until <= now {
+            self.paced_until = self.paced_until + Duration::from_millis(PACE_PERIOD_MS);
+            self.redraw();
+        }
+        for server in &mut self.servers {
+            server.requests.retain(|(_, end)| *end > now);
+        }
+    }
+
+    /// What a server tells of its load.
+    fn load(&self, index: usize) -> LoadSample {
+        let server = &self.servers[index];
+        let waiting = server.waiting(self.now);
+        LoadSample {
+            running: (server.requests.len() - waiting) as u32,
+            waiting: waiting as u32,
+            slots: SLOTS,
+            pace_percent: server.pace_percent,
+        }
+    }
+
+    /// Starts a request; `None` if the server is full and drops it.
+    fn start(&mut self, index: usize, now: Moment) -> Option<Moment> {
+        let spread = self.rng.random_range(0.7..1.3);
+        let server = &mut self.servers[index];
+        if server.waiting(now) >= QUEUE {
+            return None;
+        }
+        let start = server.free_at(now);
+        let work = WORK.mul_f64(spread * f64::from(server.pace_percent) / 100.0);
+        // Servers stop work at the deadline that they are told.
+        let end = (start + work).min(now + DEADLINE);
+        server.requests.push((start.min(end), end));
+        Some(end)
+    }
+}
+
+/// What callers got.
+#[derive(Clone, Copy, Debug, Default)]
+struct LoadTally {
+    prompt: u64,
+    late: u64,
+    refused: u64,
+    /// Refused later than a refusal counts as prompt.
+    refused_late: u64,
+    dropped: u64,
+}
+
+impl LoadTally {
+    /// Counts a request that was started at `end`, if it was.
+    fn count(&mut self, arrived: Moment, end: Option<Moment>) {
+        match end.map(|end| end.since(arrived)) {
+            None => self.dropped += 1,
+            Some(elapsed) if elapsed <= OBJECTIVE => self.prompt += 1,
+            Some(elapsed) if elapsed < DEADLINE => self.late += 1,
+            Some(_) => self.dropped += 1,
+        }
+    }
+
+    /// Part of the requests that were answered within the objective.
+    fn prompt_share(&self) -> f64 {
+        self.prompt as f64 / REQUESTS as f64
+    }
+}
+
+/// Arrivals of a day at a part of what servers of the usual pace could do, in percent.
+fn arrivals(load_percent: u64, seed: u64) -> Vec<Moment> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let usual = SERVERS as f64 * f64::from(SLOTS) / WORK.as_secs_f64();
+    let gap = 1.0 / (usual * load_percent as f64 / 100.0);
+    let mut at = 0.0;
+    let arrivals = (0..REQUESTS).map(|_| {
+        at += -gap * (1.0 - rng.random_range(0.0..1.0_f64)).ln();
+        Moment::ZERO + Duration::from_secs_f64(at)
+    });
+    arrivals.collect()
+}
+
+/// Plays a day with a server drawn at random for each request.
+fn play_random(arrivals: &[Moment], seed: u64) -> LoadTally {
+    let mut fleet = SimFleet::new(seed);
+    let mut rng = SmallRng::seed_from_u64(seed + 1);
+    let mut tally = LoadTally::default();
+    for now in arrivals {
+        fleet.advance(*now);
+        let end = fleet.start(rng.random_range(0..SERVERS), *now);
+        tally.count(*now, end);
+    }
+    tally
+}
+
+/// A request that waits at the gate.
+struct SimRequest {
+    arrived: Moment,
+    stage: AskStage,
+}
+
+/// Plays a day with the placement under test.
+fn play_placed(arrivals: &[Moment], seed: u64) -> LoadTally {
+    let mut fleet = SimFleet::new(seed);
+    let mut board = PlaceBoard::new(seed + 1);
+    let servers = (0..SERVERS).map(|index| BoardServer {
+        instance: index.to_string().into(),
+        address: ([10, 0, 0, 1], index as u16 + 1).into(),
+        near: true,
+        slots: SLOTS,
+        cold_until: None,
+    });
+    board.replace(servers.collect(), Moment::ZERO);
+    let mut tally = LoadTally::default();
+    // Requests to be decided, and ends of those that run, by time and order of entry.
+    let mut due: BTreeMap<(Moment, u64), SimRequest> = BTreeMap::new();
+    let mut ends: Vec<(Moment, ServerKey)> = Vec::new();
+    for (order, arrived) in arrivals.iter().enumerate() {
+        let request = SimRequest {
+            arrived: *arrived,
+            stage: AskStage::Known,
+        };
+        due.insert((*arrived, order as u64), request);
+    }
+    while let Some(((now, order), mut request)) = due.pop_first() {
+        fleet.advance(now);
+        let (over, rest): (Vec<_>, Vec<_>) = ends.into_iter().partition(|(end, _)| *end <= now);
+        ends = rest;
+        for (_, key) in over {
+            board.end(key, SendOutcome::Answered, now);
+            board.note_load(key, fleet.load(index_of(&board, key)), now);
+        }
+        let held = now.since(request.arrived);
+        let since = now - Duration::from_millis(15);
+        let search = PlaceSearch {
+            work: WORK,
+            crossing: Duration::ZERO,
+            crowding: 1.0,
+            since,
+            tried: &[],
+            now,
+        };
+        let facts = MoveFacts {
+            best: board.best(AskScope::Near, &search),
+            work: WORK,
+            crossing: Duration::ZERO,
+            objective: OBJECTIVE,
+            held,
+            time_left: DEADLINE.saturating_sub(held),
+            stage: request.stage,
+        };
+        match next_move(&facts) {
+            NextMove::Send(placement) => {
+                board.start(placement.server, now);
+                let index = index_of(&board, placement.server);
+                let end = fleet.start(index, now);
+                tally.count(request.arrived, end);
+                ends.push((end.unwrap_or(now), placement.server));
+            }
+            NextMove::AskNear => {
+                for key in board.stale(8, AskScope::Near, since, now) {
+                    board.note_load(key, fleet.load(index_of(&board, key)), now);
+                }
+                request.stage = AskStage::Near;
+                due.insert((now, order), request);
+            }
+            NextMove::AskFar => {
+                request.stage = AskStage::All;
+                due.insert((now, order), request);
+            }
+            NextMove::Wait(pause) => {
+                request.stage = AskStage::Known;
+                due.insert((now + pause, order), request);
+            }
+            NextMove::Refuse(_) => {
+                tally.refused += 1;
+                tally.refused_late += u64::from(held > OBJECTIVE / PROMPT_PARTS);
+            }
+        }
+    }
+    tally
+}
+
+/// The number of a server in the fleet.
+fn index_of(board: &PlaceBoard, key: ServerKey) -> usize {
+    let server = board.server(key).unwrap();
+    server.instance.parse().unwrap()
+}
+
+/// A load and what callers must get at least.
+struct LoadCase {
+    load_percent: u64,
+    /// Requests answered within the objective, of all.
+    prompt: f64,
+}
+
+#[test]
+fn callers_get_prompt_answers_where_random_choice_fails_them() {
+    // Two thirds of the slots have the usual pace. The last case asks for nine tenths of the requests
+    // that they can serve.
+    let cases = [
+        LoadCase {
+            load_percent: 20,
+            prompt: 0.98,
+        },
+        LoadCase {
+            load_percent: 40,
+            prompt: 0.95,
+        },
+        LoadCase {
+            load_percent: 60,
+            prompt: 0.75,
+        },
+        LoadCase {
+            load_percent: 120,
+            prompt: 0.50,
+        },
+    ];
+    for case in cases {
+        let day = arrivals(case.load_percent, 7);
+        let placed = play_placed(&day, 11);
+        let random = play_random(&day, 11);
+        let load = case.load_percent;
+        println!("{load}%: placed {placed:?}, random {random:?}");
+        assert!(placed.prompt_share() >= case.prompt, "{load}%: {placed:?}");
+        assert!(
+            placed.prompt > random.prompt,
+            "{load}%: {placed:?} {random:?}"
+        );
+        assert!(
+            random.prompt_share() < case.prompt,
+            "{load}%: the bound asks nothing"
+        );
+    }
+}
+
+#[test]
+fn refusals_are_prompt_and_full_servers_get_nothing() {
+    let day = arrivals(150, 3);
+    let placed = play_placed(&day, 5);
+    assert!(placed.refused > 0, "{placed:?}");
+    assert_eq!(placed.refused_late, 0, "{placed:?}");
+    let lost = placed.dropped as f64 / REQUESTS as f64;
+    assert!(lost < 0.05, "{placed:?}");
+    let random = play_random(&day, 5);
+    assert!(random.dropped > placed.dropped * 4, "{placed:?} {random:?}");
+}
