--- a/crates/edge/src/ask.rs
+++ b/crates/edge/src/ask.rs
@@ -84,6 +84,7 @@
     key: ServerKey,
     result: &AskResult,
 ) {
+    core.metrics.count_ask(!matches!(result, AskResult::Silent));
     match result {
         AskResult::Load(sample) => {
             service.note_told(true);
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -174,15 +174,19 @@
     match answer {
         Ok(answer) => {
             let failed = answer.head.status.is_server_error();
-            hold.set_outcome(if failed {
+            let outcome = if failed {
                 SendOutcome::Failed
             } else {
                 SendOutcome::Answered
-            });
+            };
+            hold.set_outcome(outcome);
+            core.metrics.count_send(service.name.as_str(), outcome);
             Ok((answer, hold))
         }
         Err(failure) => {
             hold.set_outcome(failure.outcome());
+            core.metrics
+                .count_send(service.name.as_str(), failure.outcome());
             if failure.kind == FailureKind::ConnectionLost {
                 // Whatever broke one connection has often broken its neighbours.
                 core.pool.discard_idle(server.address);
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -130,7 +130,10 @@
                 }
             }
             Err(FleetError::HistoryLost) => core.configs.cursor.set(None),
-            Err(error) => sleep(health.failed(&error)).await,
+            Err(error) => {
+                core.metrics.count_store_failure();
+                sleep(health.failed(&error)).await;
+            }
         }
     }
 }
@@ -229,6 +232,7 @@
         "before" => core.configs.version(),
         "routes" => config.routes.len(),
     );
+    core.metrics.set_config_version(config.version);
     let table = RouteTable::new(config, rand::random());
     *core.routes.borrow_mut() = Some(Rc::new(table));
     core.refresh_services(core.clock.now());
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -18,6 +18,7 @@
 use crate::catalog::ServerCatalog;
 use crate::config::ConfigFollow;
 use crate::gates::{GATE_LEASE, GateContacts};
+use crate::metrics::EdgeMetrics;
 use crate::news::PendingNews;
 use crate::servers::ServerFollow;
 use crate::service::ServiceState;
@@ -57,6 +58,8 @@
     pub(crate) store: S,
     /// Where events go.
     pub(crate) log: EventLog,
+    /// Counters and latencies.
+    pub(crate) metrics: EdgeMetrics,
     /// The host's clock.
     pub(crate) clock: BootClock,
     /// Connections to servers.
@@ -117,6 +120,7 @@
             wire,
             store,
             log,
+            metrics: EdgeMetrics::new(),
             clock,
             pool: ConnectionPool::new(options),
             codec: ServiceConfig::default(),
@@ -212,6 +216,7 @@
         for name in lists.keys() {
             self.service(name);
         }
+        self.metrics.set_servers(lists.values().map(Vec::len).sum());
         let mut instances = HashMap::new();
         for (name, service) in self.services.borrow().iter() {
             let servers = lists.remove(name).unwrap_or_default();
--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -14,7 +14,9 @@
 use crate::core::EdgeCore;
 use crate::drain::drain;
 use crate::gates;
-use crate::listen::{OpenCallers, serve_callers, serve_configs, serve_entries, serve_ready};
+use crate::listen::{
+    OpenCallers, serve_callers, serve_configs, serve_entries, serve_metrics, serve_ready,
+};
 use crate::news;
 use crate::ports::{EdgeWire, FleetStore, SettingsSource};
 use crate::servers::follow_servers;
@@ -74,6 +76,7 @@
     let callers = bind(&core.log, settings.listen_callers).await?;
     let ready = bind(&core.log, settings.listen_ready).await?;
     let entries = bind(&core.log, settings.listen_entries).await?;
+    let metrics = bind(&core.log, settings.listen_metrics).await?;
     let configs = bind(&core.log, settings.listen_gates).await?;
     let socket = UdpSocket::bind(settings.listen_gates).await;
     let socket = socket.map_err(|cause| bind_failed(&core.log, settings.listen_gates, cause))?;
@@ -85,7 +88,8 @@
     actix_rt::spawn(serve_callers(own(&core), callers, open.clone(), stopped));
     actix_rt::spawn(serve_ready(own(&core), ready, finished.clone()));
     actix_rt::spawn(serve_entries(own(&core), entries, finished.clone()));
-    actix_rt::spawn(serve_configs(own(&core), configs, finished));
+    actix_rt::spawn(serve_configs(own(&core), configs, finished.clone()));
+    actix_rt::spawn(serve_metrics(own(&core), metrics, finished));
     actix_rt::spawn(follow_configs(own(&core), Rc::clone(&socket)));
     actix_rt::spawn(follow_servers(own(&core), Rc::clone(&socket)));
     actix_rt::spawn(news::spread(own(&core), Rc::clone(&socket)));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -19,6 +19,7 @@
 mod gates;
 mod handle;
 mod listen;
+mod metrics;
 mod news;
 mod ports;
 mod program;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -30,6 +30,9 @@
 /// Longest time to finish a close.
 const CLOSE_TIME: Duration = Duration::from_secs(1);
 
+/// Path of the metrics.
+const METRICS_PATH: &str = "/metrics";
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -109,6 +112,32 @@
     accept(listener, OpenCallers::default(), stop, log, handler).await;
 }
 
+/// Answers with the metrics as text.
+pub(crate) async fn serve_metrics<W, S>(
+    core: Rc<EdgeCore<W, S>>,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+) where
+    W: EdgeWire,
+    S: 'static,
+{
+    let log = core.log.clone();
+    let handler = move |request: Request| {
+        let text = match request.path() {
+            METRICS_PATH => core.metrics.render().ok(),
+            _ => None,
+        };
+        let status = if text.is_some() {
+            StatusCode::OK
+        } else {
+            StatusCode::NOT_FOUND
+        };
+        let body = EdgeBody::whole(Bytes::from(text.unwrap_or_default()));
+        std::future::ready(Response::with_body(status, body))
+    };
+    accept(listener, OpenCallers::default(), stop, log, handler).await;
+}
+
 /// Answers other gates that want the configuration in force.
 pub(crate) async fn serve_configs<W, S>(
     core: Rc<EdgeCore<W, S>>,
--- /dev/null
+++ b/crates/edge/src/metrics.rs
@@ -0,0 +1,144 @@
+//! Counters and latency histograms, read as text from the metrics address.
+
+use std::fmt;
+use std::time::Duration;
+
+use ggs_observe::LATENCY_BUCKETS;
+use ggs_place::SendOutcome;
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::encoding::text::encode;
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::Histogram;
+use prometheus_client::registry::{Registry, Unit};
+
+/// Labels of requests.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    /// Rank of the route, zero being the most urgent.
+    priority: u32,
+    /// Status of the final answer.
+    status: u16,
+}
+
+/// Labels of latencies.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct PriorityLabels {
+    priority: u32,
+}
+
+/// Labels of sends to servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SendLabels {
+    service: String,
+    outcome: &'static str,
+}
+
+/// The metrics of one gate.
+pub(crate) struct EdgeMetrics {
+    registry: Registry,
+    requests: Family<RequestLabels, Counter>,
+    latency: Family<PriorityLabels, Histogram>,
+    sends: Family<SendLabels, Counter>,
+    asks: Counter,
+    ask_silences: Counter,
+    store_failures: Counter,
+    config_version: Gauge,
+    servers: Gauge,
+}
+
+impl fmt::Debug for EdgeMetrics {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("EdgeMetrics")
+            .finish_non_exhaustive()
+    }
+}
+
+impl EdgeMetrics {
+    /// Metrics that start at zero.
+    pub(crate) fn new() -> Self {
+        let mut registry = Registry::with_prefix("ggs_edge");
+        let requests = Family::default();
+        registry.register("requests", "Final answers to callers", requests.clone());
+        let new_latency: fn() -> Histogram = || Histogram::new(LATENCY_BUCKETS);
+        let latency = Family::new_with_constructor(new_latency);
+        let help = "Time from the head of a request to its final answer";
+        registry.register_with_unit("latency", help, Unit::Seconds, latency.clone());
+        let sends = Family::default();
+        registry.register("sends", "Sends to servers by how they ended", sends.clone());
+        let asks = Counter::default();
+        registry.register("asks", "Questions for the load of servers", asks.clone());
+        let ask_silences = Counter::default();
+        let help = "Questions that were not answered in time";
+        registry.register("ask_silences", help, ask_silences.clone());
+        let store_failures = Counter::default();
+        let help = "Calls to the platform's store that failed";
+        registry.register("store_failures", help, store_failures.clone());
+        let config_version = Gauge::default();
+        let help = "Version of the configuration in force";
+        registry.register("config_version", help, config_version.clone());
+        let servers = Gauge::default();
+        let help = "Servers that take new requests";
+        registry.register("servers", help, servers.clone());
+        Self {
+            registry,
+            requests,
+            latency,
+            sends,
+            asks,
+            ask_silences,
+            store_failures,
+            config_version,
+            servers,
+        }
+    }
+
+    /// Counts a final answer.
+    pub(crate) fn observe_request(&self, priority: u32, status: u16, elapsed: Duration) {
+        let labels = RequestLabels { priority, status };
+        self.requests.get_or_create(&labels).inc();
+        let latency = self.latency.get_or_create(&PriorityLabels { priority });
+        latency.observe(elapsed.as_secs_f64());
+    }
+
+    /// Counts a send that has ended.
+    pub(crate) fn count_send(&self, service: &str, outcome: SendOutcome) {
+        let labels = SendLabels {
+            service: service.to_owned(),
+            outcome: outcome.into(),
+        };
+        self.sends.get_or_create(&labels).inc();
+    }
+
+    /// Counts a question that was answered, or not in time.
+    pub(crate) fn count_ask(&self, answered: bool) {
+        self.asks.inc();
+        if !answered {
+            self.ask_silences.inc();
+        }
+    }
+
+    /// Counts a call to the store that failed.
+    pub(crate) fn count_store_failure(&self) {
+        self.store_failures.inc();
+    }
+
+    /// Sets the version of the configuration in force.
+    pub(crate) fn set_config_version(&self, version: u64) {
+        self.config_version.set(version as i64);
+    }
+
+    /// Sets how many servers take new requests.
+    pub(crate) fn set_servers(&self, servers: usize) {
+        self.servers.set(servers as i64);
+    }
+
+    /// All metrics as text.
+    pub(crate) fn render(&self) -> Result<String, fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -434,6 +434,11 @@
         );
         let log = &self.core.log;
         log.emit(LogEvent::RequestEnded, "request has its answer", pairs);
+        let elapsed = self.core.clock.now().since(self.request.read_at);
+        let priority = self.request.route.rule().priority;
+        self.core
+            .metrics
+            .observe_request(priority, status.as_u16(), elapsed);
     }
 
     /// Milliseconds since the request was read.
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -180,6 +180,7 @@
             Err(FleetError::HistoryLost) => core.follow.differs.set(true),
             Err(error) => {
                 core.follow.failing.set(true);
+                core.metrics.count_store_failure();
                 tokio::time::sleep(health.failed(&error)).await;
             }
         }
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -35,6 +35,8 @@
     pub listen_ready: SocketAddr,
     /// Where callers ask for gates.
     pub listen_entries: SocketAddr,
+    /// Where metrics are read.
+    pub listen_metrics: SocketAddr,
     /// Where other gates send datagrams.
     pub listen_gates: SocketAddr,
     /// Part of a core that the host has.
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -9,5 +9,5 @@
 pub use event::{LogEvent, LogLevel};
 pub use labels::RequestLabels;
 pub use log::{EventLog, LogFormat};
-pub use metrics::GateMetrics;
+pub use metrics::{GateMetrics, LATENCY_BUCKETS};
 pub use service::ServiceMetrics;
--- a/crates/observe/src/metrics.rs
+++ b/crates/observe/src/metrics.rs
@@ -19,7 +19,7 @@
 use crate::service::{HandleCache, ServiceMetrics};
 
 /// Upper bounds of the latency buckets, in seconds.
-const LATENCY_BUCKETS: [f64; 20] = [
+pub const LATENCY_BUCKETS: [f64; 20] = [
     0.0005, 0.001, 0.0015, 0.002, 0.003, 0.005, 0.0075, 0.01, 0.015, 0.02, 0.03, 0.05, 0.1, 0.25,
     0.5, 1.0, 2.5, 5.0, 10.0, 30.0,
 ];
--- a/crates/place/tests/load.rs
+++ b/crates/place/tests/load.rs
@@ -149,10 +149,9 @@
     /// Counts a request that was started at `end`, if it was.
     fn count(&mut self, arrived: Moment, end: Option<Moment>) {
         match end.map(|end| end.since(arrived)) {
-            None => self.dropped += 1,
             Some(elapsed) if elapsed <= OBJECTIVE => self.prompt += 1,
             Some(elapsed) if elapsed < DEADLINE => self.late += 1,
-            Some(_) => self.dropped += 1,
+            Some(_) | None => self.dropped += 1,
         }
     }
 
