--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -1,6 +1,5 @@
 //! Tasks that follow configurations and settings.
 
-use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,15 +12,13 @@
 use ggs_relay::{FailureKind, ServerConnection};
 use ggs_route::{RouteConfig, RouteTable};
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
 use crate::core::EdgeCore;
+use crate::follow::ConfigText;
 use crate::frames::Datagram;
 use crate::gates::send_to_near;
-use crate::ports::{
-    EdgeWire, FeedCursor, FeedPage, FeedValue, FleetError, FleetStore, SettingsSource,
-};
+use crate::ports::{EdgeWire, FeedPage, FeedValue, FleetError, FleetStore, SettingsSource};
 use crate::store_health::StoreHealth;
 
 /// Longest wait of a read for the next configuration.
@@ -42,57 +39,6 @@
 /// Time between two looks at the settings.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(3);
 
-/// A configuration as it was read.
-#[derive(Clone, Debug)]
-pub(crate) struct ConfigText {
-    /// Its version.
-    version: u64,
-    /// What the operator wrote.
-    bytes: Bytes,
-}
-
-/// How far configurations are known.
-#[derive(Debug, Default)]
-pub(crate) struct ConfigFollow {
-    /// Place in the feed.
-    cursor: Cell<Option<FeedCursor>>,
-    /// The configuration in force, for other gates.
-    text: RefCell<Option<ConfigText>>,
-    /// A newer version than the one in force, and the gate that has it.
-    offered: Cell<Option<(u64, SocketAddr)>>,
-    /// Whether this gate has to read the store itself.
-    due: Cell<bool>,
-    told: Notify,
-}
-
-impl ConfigFollow {
-    /// The version in force; zero if there is none.
-    pub(crate) fn version(&self) -> u64 {
-        let text = self.text.borrow();
-        text.as_ref().map_or(0, |text| text.version)
-    }
-
-    /// What the operator wrote, of the configuration in force.
-    pub(crate) fn bytes(&self) -> Option<Bytes> {
-        let text = self.text.borrow();
-        text.as_ref().map(|text| text.bytes.clone())
-    }
-
-    /// Takes that the gate at `address` has `version` in force.
-    pub(crate) fn hear_version(&self, version: u64, address: SocketAddr) {
-        if version > self.version() {
-            self.offered.set(Some((version, address)));
-            self.told.notify_one();
-        }
-    }
-
-    /// Lets this gate read the store itself, as no other told it anything in time.
-    pub(crate) fn set_due(&self) {
-        self.due.set(true);
-        self.told.notify_one();
-    }
-}
-
 /// Follows configurations: the gate that reads for its data centre waits for them at the store, the
 /// others read them from it. A gate that is not told anything in time reads the store itself.
 pub(crate) async fn follow_configs<W, S>(core: Rc<EdgeCore<W, S>>, socket: Rc<UdpSocket>)
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -16,11 +16,10 @@
 use ggs_route::RouteTable;
 
 use crate::catalog::ServerCatalog;
-use crate::config::ConfigFollow;
-use crate::gates::{GATE_LEASE, GateContacts};
+use crate::contacts::{GATE_LEASE, GateContacts};
+use crate::follow::{ConfigFollow, ServerFollow};
 use crate::metrics::EdgeMetrics;
-use crate::news::PendingNews;
-use crate::servers::ServerFollow;
+use crate::pending::PendingNews;
 use crate::service::ServiceState;
 use crate::settings::EdgeSettings;
 
--- /dev/null
+++ b/crates/edge/src/follow.rs
@@ -0,0 +1,75 @@
+//! How far this gate knows configurations and servers.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use ggs_model::Moment;
+use tokio::sync::Notify;
+
+use crate::ports::FeedCursor;
+
+/// A configuration as it was read.
+#[derive(Clone, Debug)]
+pub(crate) struct ConfigText {
+    /// Its version.
+    pub(crate) version: u64,
+    /// What the operator wrote.
+    pub(crate) bytes: Bytes,
+}
+
+/// How far configurations are known.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigFollow {
+    /// Place in the feed.
+    pub(crate) cursor: Cell<Option<FeedCursor>>,
+    /// The configuration in force, for other gates.
+    pub(crate) text: RefCell<Option<ConfigText>>,
+    /// A newer version than the one in force, and the gate that has it.
+    pub(crate) offered: Cell<Option<(u64, SocketAddr)>>,
+    /// Whether this gate has to read the store itself.
+    pub(crate) due: Cell<bool>,
+    pub(crate) told: Notify,
+}
+
+impl ConfigFollow {
+    /// The version in force; zero if there is none.
+    pub(crate) fn version(&self) -> u64 {
+        let text = self.text.borrow();
+        text.as_ref().map_or(0, |text| text.version)
+    }
+
+    /// What the operator wrote, of the configuration in force.
+    pub(crate) fn bytes(&self) -> Option<Bytes> {
+        let text = self.text.borrow();
+        text.as_ref().map(|text| text.bytes.clone())
+    }
+
+    /// Takes that the gate at `address` has `version` in force.
+    pub(crate) fn hear_version(&self, version: u64, address: SocketAddr) {
+        if version > self.version() {
+            self.offered.set(Some((version, address)));
+            self.told.notify_one();
+        }
+    }
+
+    /// Lets this gate read the store itself, as no other told it anything in time.
+    pub(crate) fn set_due(&self) {
+        self.due.set(true);
+        self.told.notify_one();
+    }
+}
+
+/// How far the list of servers is known.
+#[derive(Debug, Default)]
+pub(crate) struct ServerFollow {
+    /// Place in the feed.
+    pub(crate) cursor: Cell<Option<FeedCursor>>,
+    /// When the list was last known to be the newest.
+    pub(crate) known_at: Cell<Moment>,
+    /// Whether what another gate told does not fit this gate's list.
+    pub(crate) differs: Cell<bool>,
+    /// Whether the last read failed.
+    pub(crate) failing: Cell<bool>,
+    pub(crate) told: Notify,
+}
--- a/crates/edge/src/news.rs
+++ b/crates/edge/src/news.rs
@@ -3,18 +3,16 @@
 //! Questions to servers are bounded over the whole fleet, datagrams within a data centre are not. So
 //! what one gate learned of a server is used by its neighbours, and they count its sends.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use ggs_model::Clock;
 use ggs_place::{LoadSample, ServerKey};
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use crate::core::EdgeCore;
-use crate::frames::{Datagram, LoadBody, NewsBody};
+use crate::frames::{Datagram, NewsBody};
 use crate::gates::send_to;
 use crate::ports::EdgeWire;
 use crate::service::ServiceState;
@@ -22,36 +20,6 @@
 /// Time for which news are gathered into one datagram.
 const GATHER_TIME: Duration = Duration::from_millis(1);
 
-/// Entries of one datagram at most; thirty bytes each.
-const MAX_ENTRIES: usize = 40;
-
-/// News that were not sent yet.
-#[derive(Debug, Default)]
-pub(crate) struct PendingNews {
-    body: RefCell<NewsBody>,
-    added: Notify,
-}
-
-impl PendingNews {
-    /// Adds the load that a server told.
-    pub(crate) fn add_load(&self, instance: &str, sample: LoadSample) {
-        let mut body = self.body.borrow_mut();
-        if body.loads.len() < MAX_ENTRIES {
-            body.loads.push(LoadBody::new(instance, sample));
-            self.added.notify_one();
-        }
-    }
-
-    /// Adds a send.
-    pub(crate) fn add_send(&self, instance: &str) {
-        let mut body = self.body.borrow_mut();
-        if body.sends.len() < MAX_ENTRIES {
-            body.sends.push(instance.to_owned());
-            self.added.notify_one();
-        }
-    }
-}
-
 impl<W, S> EdgeCore<W, S> {
     /// Takes the load that a server told this gate, and tells the others.
     pub(crate) fn learn_load(&self, service: &ServiceState, key: ServerKey, sample: LoadSample) {
--- /dev/null
+++ b/crates/edge/src/placing.rs
@@ -0,0 +1,149 @@
+//! Finds a server for a request: known loads first, then questions, near ones before far ones.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Uri;
+use ggs_model::{Clock, Moment};
+use ggs_place::{
+    AskScope, AskStage, MoveFacts, NextMove, PlaceSearch, Placement, ServerKey, next_move,
+};
+use tokio::time::sleep;
+
+use crate::ask;
+use crate::core::EdgeCore;
+use crate::ports::EdgeWire;
+use crate::request::EdgeRequest;
+use crate::service::ServiceState;
+
+/// Servers of the gate's data centre that are asked at once.
+const NEAR_ASKS: usize = 8;
+
+/// Servers of other data centres that are asked at once; bytes between data centres are dear.
+const FAR_ASKS: usize = 3;
+
+/// Part of a request's work for which a load that was told stays of use, one in this many.
+const FRESH_PARTS: u32 = 4;
+
+/// Shortest time for which a load that was told stays of use.
+const MIN_FRESH: Duration = Duration::from_millis(8);
+
+/// Longest time for which a load that was told stays of use; the pace of servers changes within
+/// hundreds of milliseconds.
+const MAX_FRESH: Duration = Duration::from_millis(40);
+
+/// Why no server takes a request.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PlaceRefusal {
+    /// The best server, if any has room in its queue.
+    pub(crate) best: Option<Placement>,
+    /// Time after which the caller may come back.
+    pub(crate) retry_after: Duration,
+}
+
+/// Finds a server for a request.
+pub(crate) async fn place<W, S>(
+    core: &Rc<EdgeCore<W, S>>,
+    service: &Rc<ServiceState>,
+    request: &EdgeRequest,
+    path: Option<&Uri>,
+    tried: &[ServerKey],
+) -> Result<Placement, PlaceRefusal>
+where
+    W: EdgeWire,
+    S: 'static,
+{
+    let rule = request.route.rule();
+    let estimate = service.work(rule);
+    let (work, crossing) = (estimate.mean(), estimate.crossing());
+    let fresh = (work / FRESH_PARTS).clamp(MIN_FRESH, MAX_FRESH);
+    let mut stage = AskStage::Known;
+    loop {
+        let now = core.clock.now();
+        let search = PlaceSearch {
+            work,
+            crossing,
+            crowding: estimate.crowding(),
+            since: now - fresh,
+            tried,
+            now,
+        };
+        let facts = MoveFacts {
+            best: best_known(service, stage, &search),
+            work,
+            crossing,
+            objective: rule.objective,
+            held: now.since(request.read_at),
+            time_left: request.answer_by.since(now),
+            stage,
+        };
+        match next_move(&facts) {
+            NextMove::Send(placement) => return Ok(placement),
+            NextMove::AskNear => {
+                ask_stale(core, service, AskScope::Near, path, now - fresh).await;
+                stage = AskStage::Near;
+            }
+            NextMove::AskFar => {
+                ask_stale(core, service, AskScope::Far, path, now - fresh).await;
+                stage = AskStage::All;
+            }
+            NextMove::Wait(pause) => {
+                sleep(pause).await;
+                stage = AskStage::Known;
+            }
+            NextMove::Refuse(retry_after) => {
+                let best = facts.best;
+                return Err(PlaceRefusal { best, retry_after });
+            }
+        }
+    }
+}
+
+/// The best server at a stage of asking; far ones count once they were asked.
+fn best_known(
+    service: &ServiceState,
+    stage: AskStage,
+    search: &PlaceSearch<'_>,
+) -> Option<Placement> {
+    let mut board = service.board.borrow_mut();
+    let near = board.best(AskScope::Near, search);
+    if stage < AskStage::All {
+        return near;
+    }
+    let far = board.best(AskScope::Far, search);
+    let told = near.into_iter().chain(far);
+    let told = told.min_by(|one, other| one.rank.total_cmp(&other.rank));
+    if told.is_some() {
+        return told;
+    }
+    let blind = board.blind(AskScope::Near, search);
+    blind.or_else(|| board.blind(AskScope::Far, search))
+}
+
+/// Asks servers of a scope whose load was not told since `since`.
+async fn ask_stale<W, S>(
+    core: &Rc<EdgeCore<W, S>>,
+    service: &Rc<ServiceState>,
+    scope: AskScope,
+    path: Option<&Uri>,
+    since: Moment,
+) where
+    W: EdgeWire,
+    S: 'static,
+{
+    let Some(path) = path.filter(|_| service.tells_load()) else {
+        return;
+    };
+    let now = core.clock.now();
+    let count = match scope {
+        AskScope::Near => NEAR_ASKS,
+        AskScope::Far => FAR_ASKS,
+    };
+    let mut plan = {
+        let mut board = service.board.borrow_mut();
+        board.stale(count, scope, since, now)
+    };
+    let granted = core.asks.borrow_mut().take(plan.len(), now);
+    plan.truncate(granted);
+    ask::ask(core, service, &plan, path).await;
+}
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -6,38 +6,20 @@
 use actix_http::header::HOST;
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode, Uri};
 use ggs_model::{Clock, Moment, RunVerdict};
-use ggs_observe::LogEvent;
-use ggs_place::{
-    AskScope, AskStage, MoveFacts, NextMove, PlaceSearch, Placement, ServerKey, next_move,
-};
+use ggs_place::{Placement, SendOutcome, ServerKey};
 use ggs_relay::FailureKind;
 use ggs_route::{RepeatRule, RouteTable};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::answer::OwnAnswer;
-use crate::ask;
 use crate::attempt::{self, AnswerBytes, EdgeAnswer, SendFailure, SendHold, SendStage};
 use crate::body::{EdgeBody, StreamedBody};
 use crate::core::EdgeCore;
+use crate::placing::place;
 use crate::ports::EdgeWire;
 use crate::request::{EdgeRequest, RequestFault, end_to_end, read_body};
 use crate::service::ServiceState;
-
-/// Servers of the gate's data centre that are asked at once.
-const NEAR_ASKS: usize = 8;
-
-/// Servers of other data centres that are asked at once; bytes between data centres are dear.
-const FAR_ASKS: usize = 3;
-
-/// Part of a request's work for which a load that was told stays of use, one in this many.
-const FRESH_PARTS: u32 = 4;
-
-/// Shortest time for which a load that was told stays of use.
-const MIN_FRESH: Duration = Duration::from_millis(8);
-
-/// Longest time for which a load that was told stays of use; the pace of servers changes within
-/// hundreds of milliseconds.
-const MAX_FRESH: Duration = Duration::from_millis(40);
+use crate::span::RequestSpan;
 
 /// Sends of one request at most, those included that reached no server.
 const MAX_SENDS: usize = 6;
@@ -143,8 +125,12 @@
         let placed = place(core, &service, request, path.as_ref(), &state.tried).await;
         let placement = match placed {
             Ok(placement) => placement,
-            Err(retry_after) => return give_up(&state, retry_after),
+            Err(refusal) => {
+                span.refused(&service, &refusal);
+                return give_up(&state, refusal.retry_after);
+            }
         };
+        span.sends(&service, &placement);
         if state.arrivals > 0 && !service.retries.borrow_mut().take() {
             return give_up(&state, REFUSED_RETRY);
         }
@@ -166,10 +152,9 @@
             Ok((answer, hold)) => {
                 note_work(core, &service, request, &placement, sent_at, &answer);
                 if !is_worth_retry(&answer, request, &state, &service) {
-                    span.answered(&service, &placement);
                     return pass_on(answer, hold, request);
                 }
-                hold.set_outcome(ggs_place::SendOutcome::Failed);
+                hold.set_outcome(SendOutcome::Failed);
                 SendFailure {
                     kind: FailureKind::ServerError,
                     verdict: RunVerdict::Ran,
@@ -182,6 +167,9 @@
         state.tried.push(placement.server);
         state.arrivals += u32::from(failure.arrived);
         state.may_have_run |= failure.verdict != RunVerdict::NotRun;
+        if core.clock.now() >= request.answer_by && state.may_have_run {
+            return OwnAnswer::Late.response(REFUSED_RETRY);
+        }
         if !may_send_again(&state, request) {
             return give_up(&state, REFUSED_RETRY);
         }
@@ -220,110 +208,6 @@
     own.response(retry_after)
 }
 
-/// Finds a server for a request, or the time after which the caller may come back.
-async fn place<W, S>(
-    core: &Rc<EdgeCore<W, S>>,
-    service: &Rc<ServiceState>,
-    request: &EdgeRequest,
-    path: Option<&Uri>,
-    tried: &[ServerKey],
-) -> Result<Placement, Duration>
-where
-    W: EdgeWire,
-    S: 'static,
-{
-    let rule = request.route.rule();
-    let estimate = service.work(rule);
-    let (work, crossing) = (estimate.mean(), estimate.crossing());
-    let fresh = (work / FRESH_PARTS).clamp(MIN_FRESH, MAX_FRESH);
-    let mut stage = AskStage::Known;
-    loop {
-        let now = core.clock.now();
-        let search = PlaceSearch {
-            work,
-            crossing,
-            crowding: estimate.crowding(),
-            since: now - fresh,
-            tried,
-            now,
-        };
-        let facts = MoveFacts {
-            best: best_known(service, stage, &search),
-            work,
-            crossing,
-            objective: rule.objective,
-            held: now.since(request.read_at),
-            time_left: request.answer_by.since(now),
-            stage,
-        };
-        match next_move(&facts) {
-            NextMove::Send(placement) => return Ok(placement),
-            NextMove::AskNear => {
-                ask_stale(core, service, AskScope::Near, path, now - fresh).await;
-                stage = AskStage::Near;
-            }
-            NextMove::AskFar => {
-                ask_stale(core, service, AskScope::Far, path, now - fresh).await;
-                stage = AskStage::All;
-            }
-            NextMove::Wait(pause) => {
-                sleep(pause).await;
-                stage = AskStage::Known;
-            }
-            NextMove::Refuse(retry_after) => return Err(retry_after),
-        }
-    }
-}
-
-/// The best server at a stage of asking; far ones count once they were asked.
-fn best_known(
-    service: &ServiceState,
-    stage: AskStage,
-    search: &PlaceSearch<'_>,
-) -> Option<Placement> {
-    let mut board = service.board.borrow_mut();
-    let near = board.best(AskScope::Near, search);
-    if stage < AskStage::All {
-        return near;
-    }
-    let far = board.best(AskScope::Far, search);
-    let told = near.into_iter().chain(far);
-    let told = told.min_by(|one, other| one.rank.total_cmp(&other.rank));
-    if told.is_some() {
-        return told;
-    }
-    let blind = board.blind(AskScope::Near, search);
-    blind.or_else(|| board.blind(AskScope::Far, search))
-}
-
-/// Asks servers of a scope whose load was not told since `since`.
-async fn ask_stale<W, S>(
-    core: &Rc<EdgeCore<W, S>>,
-    service: &Rc<ServiceState>,
-    scope: AskScope,
-    path: Option<&Uri>,
-    since: Moment,
-) where
-    W: EdgeWire,
-    S: 'static,
-{
-    let Some(path) = path.filter(|_| service.tells_load()) else {
-        return;
-    };
-    let now = core.clock.now();
-    let count = match scope {
-        AskScope::Near => NEAR_ASKS,
-        AskScope::Far => FAR_ASKS,
-    };
-    let mut plan = {
-        let mut board = service.board.borrow_mut();
-        board.stale(count, scope, since, now)
-    };
-    let granted = core.asks.borrow_mut().take(plan.len(), now);
-    plan.truncate(granted);
-    ask::ask(core, service, &plan, path).await;
-}
-
 /// Learns from an answer how much work its route is.
 fn note_work<W, S>(
     core: &EdgeCore<W, S>,
@@ -370,86 +254,3 @@
     *response.headers_mut() = end_to_end(&answer.head.headers);
     response
 }
-
-/// Logs what happens to one request.
-struct RequestSpan<'a, W, S> {
-    core: &'a EdgeCore<W, S>,
-    request: &'a EdgeRequest,
-    id: String,
-    server: std::cell::RefCell<Option<String>>,
-}
-
-impl<'a, W, S> RequestSpan<'a, W, S>
-where
-    W: EdgeWire,
-{
-    /// Starts the span of a request.
-    fn start(core: &'a EdgeCore<W, S>, request: &'a EdgeRequest) -> Self {
-        let id = request.id(core.wire.headers());
-        let id = id.and_then(|value| value.to_str().ok()).unwrap_or_default();
-        Self {
-            core,
-            request,
-            id: id.to_owned(),
-            server: std::cell::RefCell::new(None),
-        }
-    }
-
-    /// Notes the server that answered.
-    fn answered(&self, service: &ServiceState, placement: &Placement) {
-        let board = service.board.borrow();
-        let server = board.server(placement.server);
-        let server = server.map(|server| server.instance.to_string());
-        *self.server.borrow_mut() = server;
-    }
-
-    /// Logs a send that failed.
-    fn failed(&self, service: &ServiceState, placement: &Placement, kind: FailureKind) {
-        let board = service.board.borrow();
-        let server = board.server(placement.server);
-        let server = server.map(|server| server.instance.to_string());
-        let pairs = slog::o!(
-            "request" => self.id.clone(),
-            "service" => service.name.to_string(),
-            "server" => server.unwrap_or_default(),
-            "expected_ms" => placement.expected.as_millis() as u64,
-            "has_slot" => placement.has_slot,
-            "pace_percent" => placement.pace_percent,
-            "cause" => kind.to_string(),
-            "held_ms" => self.held_ms(),
-        );
-        let log = &self.core.log;
-        log.emit(LogEvent::AttemptFailed, "send has no answer", pairs);
-    }
-
-    /// Logs the final answer.
-    fn end(&self, status: StatusCode) {
-        let pairs = slog::o!(
-            "request" => self.id.clone(),
-            "route" => self.request.route.rule().name.to_string(),
-            "status" => status.as_u16(),
-            "server" => self.server.borrow().clone().unwrap_or_default(),
-            "held_ms" => self.held_ms(),
-            "left_ms" => self.left_ms(),
-        );
-        let log = &self.core.log;
-        log.emit(LogEvent::RequestEnded, "request has its answer", pairs);
-        let elapsed = self.core.clock.now().since(self.request.read_at);
-        let priority = self.request.route.rule().priority;
-        self.core
-            .metrics
-            .observe_request(priority, status.as_u16(), elapsed);
-    }
-
-    /// Milliseconds since the request was read.
-    fn held_ms(&self) -> u64 {
-        let now = self.core.clock.now();
-        now.since(self.request.read_at).as_millis() as u64
-    }
-
-    /// Milliseconds until the caller has to have its answer.
-    fn left_ms(&self) -> u64 {
-        let now = self.core.clock.now();
-        self.request.answer_by.since(now).as_millis() as u64
-    }
-}
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -3,7 +3,6 @@
 //! Calls to the store are paid for, and each gate that reads it reads the same. So one gate of a data
 //! centre reads and tells the others what changed; a gate that is not told in time reads itself.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,7 +10,6 @@
 use ggs_model::{Clock, DataCentre, Moment};
 use ggs_observe::LogEvent;
 use tokio::net::UdpSocket;
-use tokio::sync::Notify;
 use tokio::time::timeout;
 
 use crate::catalog::CatalogNews;
@@ -34,20 +32,6 @@
 /// Changes in one datagram at most; hundred bytes each.
 const MAX_CHANGES: usize = 12;
 
-/// How far the list of servers is known.
-#[derive(Debug, Default)]
-pub(crate) struct ServerFollow {
-    /// Place in the feed.
-    cursor: Cell<Option<FeedCursor>>,
-    /// When the list was last known to be the newest.
-    known_at: Cell<Moment>,
-    /// Whether what another gate told does not fit this gate's list.
-    differs: Cell<bool>,
-    /// Whether the last read failed.
-    failing: Cell<bool>,
-    told: Notify,
-}
-
 /// The gate that reads the store for its data centre: the first by name of those that live there and
 /// can read it.
 pub(crate) fn choose_reader<'a>(
--- /dev/null
+++ b/crates/edge/src/span.rs
@@ -0,0 +1,132 @@
+//! The log lines and the metrics of one request.
+
+use std::cell::{Cell, RefCell};
+
+use actix_http::StatusCode;
+use ggs_model::Clock;
+use ggs_observe::LogEvent;
+use ggs_place::Placement;
+use ggs_relay::FailureKind;
+
+use crate::core::EdgeCore;
+use crate::placing::PlaceRefusal;
+use crate::ports::EdgeWire;
+use crate::request::EdgeRequest;
+use crate::service::ServiceState;
+
+/// Logs what happens to one request.
+pub(crate) struct RequestSpan<'a, W, S> {
+    core: &'a EdgeCore<W, S>,
+    request: &'a EdgeRequest,
+    id: String,
+    /// The server that it went to last.
+    server: RefCell<String>,
+    ended: Cell<bool>,
+}
+
+impl<'a, W, S> RequestSpan<'a, W, S>
+where
+    W: EdgeWire,
+{
+    /// Starts the span of a request.
+    pub(crate) fn start(core: &'a EdgeCore<W, S>, request: &'a EdgeRequest) -> Self {
+        let id = request.id(core.wire.headers());
+        let id = id.and_then(|value| value.to_str().ok()).unwrap_or_default();
+        Self {
+            core,
+            request,
+            id: id.to_owned(),
+            server: RefCell::default(),
+            ended: Cell::new(false),
+        }
+    }
+
+    /// Notes the server that the request goes to.
+    pub(crate) fn sends(&self, service: &ServiceState, placement: &Placement) {
+        let board = service.board.borrow();
+        let server = board.server(placement.server);
+        let server = server.map(|server| server.instance.to_string());
+        *self.server.borrow_mut() = server.unwrap_or_default();
+    }
+
+    /// Logs a send that failed.
+    pub(crate) fn failed(&self, service: &ServiceState, placement: &Placement, kind: FailureKind) {
+        let pairs = slog::o!(
+            "request" => self.id.clone(),
+            "service" => service.name.to_string(),
+            "server" => self.server.borrow().clone(),
+            "expected_ms" => placement.expected.as_millis() as u64,
+            "has_slot" => placement.has_slot,
+            "pace_percent" => placement.pace_percent,
+            "cause" => kind.to_string(),
+            "held_ms" => self.held_ms(),
+        );
+        let log = &self.core.log;
+        log.emit(LogEvent::AttemptFailed, "send has no answer", pairs);
+    }
+
+    /// Logs why no server takes the request.
+    pub(crate) fn refused(&self, service: &ServiceState, refusal: &PlaceRefusal) {
+        let expected = refusal.best.map(|best| best.expected.as_millis() as u64);
+        let pairs = slog::o!(
+            "request" => self.id.clone(),
+            "service" => service.name.to_string(),
+            "servers" => service.board.borrow().len(),
+            "best_expected_ms" => expected,
+            "retry_after_ms" => refusal.retry_after.as_millis() as u64,
+            "held_ms" => self.held_ms(),
+            "left_ms" => self.left_ms(),
+        );
+        let log = &self.core.log;
+        log.emit(LogEvent::RequestRefused, "no server answers in time", pairs);
+    }
+
+    /// Logs the final answer.
+    pub(crate) fn end(&self, status: StatusCode) {
+        let pairs = slog::o!(
+            "request" => self.id.clone(),
+            "route" => self.request.route.rule().name.to_string(),
+            "status" => status.as_u16(),
+            "server" => self.server.borrow().clone(),
+            "held_ms" => self.held_ms(),
+            "left_ms" => self.left_ms(),
+        );
+        self.ended.set(true);
+        let log = &self.core.log;
+        log.emit(LogEvent::RequestEnded, "request has its answer", pairs);
+        let elapsed = self.core.clock.now().since(self.request.read_at);
+        let priority = self.request.route.rule().priority;
+        self.core
+            .metrics
+            .observe_request(priority, status.as_u16(), elapsed);
+    }
+
+    /// Milliseconds since the request was read.
+    fn held_ms(&self) -> u64 {
+        let now = self.core.clock.now();
+        now.since(self.request.read_at).as_millis() as u64
+    }
+
+    /// Milliseconds until the caller has to have its answer.
+    fn left_ms(&self) -> u64 {
+        let now = self.core.clock.now();
+        self.request.answer_by.since(now).as_millis() as u64
+    }
+}
+
+impl<W, S> Drop for RequestSpan<'_, W, S> {
+    fn drop(&mut self) {
+        if self.ended.get() {
+            return;
+        }
+        let now = self.core.clock.now();
+        let pairs = slog::o!(
+            "request" => self.id.clone(),
+            "route" => self.request.route.rule().name.to_string(),
+            "server" => self.server.borrow().clone(),
+            "held_ms" => now.since(self.request.read_at).as_millis() as u64,
+        );
+        let message = "caller left before its answer";
+        self.core.log.emit(LogEvent::CallerLeft, message, pairs);
+    }
+}
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -66,6 +66,10 @@
     RequestEnded = 402,
     /// A send to a server has no answer for the caller.
     AttemptFailed = 403,
+    /// A request was refused, as no server can answer it in time.
+    RequestRefused = 404,
+    /// A caller left before its request had a final answer.
+    CallerLeft = 405,
     /// Another gate was heard for the first time or again.
     GateJoined = 500,
     /// Another gate said goodbye.
@@ -120,6 +124,8 @@
             | Self::ServerDropped
             | Self::RequestEnded
             | Self::AttemptFailed
+            | Self::RequestRefused
+            | Self::CallerLeft
             | Self::DocumentsFresh
             | Self::PlatformRecovered
             | Self::ServerLeaving
