--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -6,7 +6,7 @@
 use actix_http::header::HOST;
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode, Uri};
 use ggs_model::{Clock, Moment, RunVerdict};
-use ggs_place::{Placement, SendOutcome, ServerKey};
+use ggs_place::{Placement, ServerKey};
 use ggs_relay::FailureKind;
 use ggs_route::{RepeatRule, RouteTable};
 use tokio::time::timeout;
@@ -100,6 +100,8 @@
     arrivals: u32,
     /// Whether it may have run.
     may_have_run: bool,
+    /// A server's failure that was turned down for another send.
+    turned_down: Option<(EdgeAnswer, SendHold)>,
 }
 
 /// Places a request until it has an answer.
@@ -127,12 +129,12 @@
             Ok(placement) => placement,
             Err(refusal) => {
                 span.refused(&service, &refusal);
-                return give_up(&state, refusal.retry_after);
+                return give_up(state, request, refusal.retry_after);
             }
         };
         span.sends(&service, &placement);
         if state.arrivals > 0 && !service.retries.borrow_mut().take() {
-            return give_up(&state, REFUSED_RETRY);
+            return give_up(state, request, REFUSED_RETRY);
         }
         let sent_at = core.clock.now();
         let stage = SendStage::default();
@@ -154,7 +156,7 @@
                 if !is_worth_retry(&answer, request, &state, &service) {
                     return pass_on(answer, hold, request);
                 }
-                hold.set_outcome(SendOutcome::Failed);
+                state.turned_down = Some((answer, hold));
                 SendFailure {
                     kind: FailureKind::ServerError,
                     verdict: RunVerdict::Ran,
@@ -171,7 +173,7 @@
             return OwnAnswer::Late.response(REFUSED_RETRY);
         }
         if !may_send_again(&state, request) {
-            return give_up(&state, REFUSED_RETRY);
+            return give_up(state, request, REFUSED_RETRY);
         }
     }
 }
@@ -198,8 +200,11 @@
     failed && again && others && rule.repeat == RepeatRule::Idempotent
 }
 
-/// The final answer of a request that no server answered.
-fn give_up(state: &RelayState, retry_after: Duration) -> Response<EdgeBody> {
+/// The final answer of a request that no server answered well.
+fn give_up(state: RelayState, request: &EdgeRequest, retry_after: Duration) -> Response<EdgeBody> {
+    if let Some((answer, hold)) = state.turned_down {
+        return pass_on(answer, hold, request);
+    }
     let own = if state.may_have_run {
         OwnAnswer::ServerFailed
     } else {
