--- a/crates/ctl/tests/commands.rs
+++ b/crates/ctl/tests/commands.rs
@@ -492,7 +492,7 @@
 
 #[test]
 fn the_operators_page_lists_every_exit_code() {
-    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATING.md");
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
     let page = std::fs::read_to_string(path).unwrap();
     for kind in ExitKind::iter() {
         let row = format!("| {} | {kind} | {} |", kind.code(), kind.meaning());
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -29,9 +29,6 @@
 /// Time between two reads of the gates in the store.
 const STORE_PERIOD: Duration = Duration::from_secs(40);
 
-/// Time between two rounds of datagrams while a gate knows no other.
-const ALONE_PERIOD: Duration = Duration::from_secs(2);
-
 /// Longest datagram.
 const MAX_DATAGRAM: usize = 1_400;
 
@@ -101,10 +98,7 @@
         core.contacts.borrow_mut().forget(now);
         core.refresh_groups(now);
         let sent = say_hello(&core, &socket).await;
-        let period = match sent {
-            0 => ALONE_PERIOD,
-            sent => HELLO_PERIOD.max(HELLO_PERIOD_PER_GATE * sent as u32),
-        };
+        let period = HELLO_PERIOD.max(HELLO_PERIOD_PER_GATE * sent as u32);
         sleep(period.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
--- a/crates/observe/tests/metrics.rs
+++ b/crates/observe/tests/metrics.rs
@@ -185,7 +185,7 @@
 
 #[test]
 fn the_operators_page_lists_exactly_the_exposed_metrics() {
-    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATING.md");
+    let path = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
     let page = std::fs::read_to_string(path).unwrap();
     let rows = page.lines().filter_map(|line| line.strip_prefix("| `ggs_"));
     let listed: BTreeMap<String, &str> = rows
--- a/crates/settings/tests/docs.rs
+++ b/crates/settings/tests/docs.rs
@@ -22,7 +22,7 @@
 
 /// Rows of all tables of fields in the operators' page, by the name of the field.
 fn field_rows() -> BTreeMap<String, Vec<String>> {
-    let page = read("docs/OPERATING.md");
+    let page = read("docs/OPERATIONS.md");
     let rows = page.lines().filter(|line| line.starts_with("| `"));
     let rows = rows.map(|line| {
         let columns = line.trim_matches('|').split('|');
@@ -79,14 +79,14 @@
     for name in &names {
         assert!(
             rows.contains_key(name),
-            "docs/OPERATING.md does not list {name}"
+            "docs/OPERATIONS.md does not list {name}"
         );
     }
     let metrics = |name: &&String| !name.starts_with("ggs_");
     for name in rows.keys().filter(metrics) {
         assert!(
             names.contains(name),
-            "docs/OPERATING.md lists {name}, which is no field"
+            "docs/OPERATIONS.md lists {name}, which is no field"
         );
     }
 }
@@ -162,7 +162,7 @@
     let row = &rows["server_choice"];
     assert_eq!(row[2], settings["server_choice"].as_str().unwrap());
     assert_eq!(row[3], policies.join(", "));
-    let page = read("docs/OPERATING.md");
+    let page = read("docs/OPERATIONS.md");
     for field in ["deadline_ms", "in_flight"] {
         let value = &document[field];
         let (urgent, standard, export) = (&value["urgent"], &value["standard"], &value["export"]);
