--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -81,8 +81,7 @@
     W: EdgeWire,
     S: 'static,
 {
-    let log = core.log.clone();
-    let handler = move |request: Request| {
+    let answer = |core: &EdgeCore<W, S>, request: &Request| {
         let status = if !core.wire.is_ready_call(request.uri()) {
             StatusCode::NOT_FOUND
         } else if core.is_ready() {
@@ -90,9 +89,9 @@
         } else {
             StatusCode::SERVICE_UNAVAILABLE
         };
-        std::future::ready(Response::with_body(status, EdgeBody::whole(Bytes::new())))
+        Response::with_body(status, EdgeBody::whole(Bytes::new()))
     };
-    accept(listener, OpenCallers::default(), stop, log, handler).await;
+    serve_at_once(core, listener, stop, answer).await;
 }
 
 /// Answers questions for gates.
@@ -104,12 +103,7 @@
     W: EdgeWire,
     S: 'static,
 {
-    let log = core.log.clone();
-    let handler = move |request: Request| {
-        let response = answer_question(&core, &request);
-        std::future::ready(response)
-    };
-    accept(listener, OpenCallers::default(), stop, log, handler).await;
+    serve_at_once(core, listener, stop, answer_question).await;
 }
 
 /// Answers with the metrics as text.
@@ -121,21 +115,14 @@
     W: EdgeWire,
     S: 'static,
 {
-    let log = core.log.clone();
-    let handler = move |request: Request| {
+    let answer = |core: &EdgeCore<W, S>, request: &Request| {
         let text = match request.path() {
             METRICS_PATH => core.metrics.render().ok(),
             _ => None,
         };
-        let status = if text.is_some() {
-            StatusCode::OK
-        } else {
-            StatusCode::NOT_FOUND
-        };
-        let body = EdgeBody::whole(Bytes::from(text.unwrap_or_default()));
-        std::future::ready(Response::with_body(status, body))
+        found_or(StatusCode::NOT_FOUND, text.map(Bytes::from))
     };
-    accept(listener, OpenCallers::default(), stop, log, handler).await;
+    serve_at_once(core, listener, stop, answer).await;
 }
 
 /// Answers other gates that want the configuration in force.
@@ -147,18 +134,35 @@
     W: EdgeWire,
     S: 'static,
 {
-    let log = core.log.clone();
-    let handler = move |_: Request| {
-        let bytes = core.configs.bytes();
-        let status = if bytes.is_some() {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        };
-        let body = EdgeBody::whole(bytes.unwrap_or_default());
-        let response = Response::with_body(status, body);
-        std::future::ready(response)
+    let answer = |core: &EdgeCore<W, S>, _: &Request| {
+        found_or(StatusCode::SERVICE_UNAVAILABLE, core.configs.bytes())
+    };
+    serve_at_once(core, listener, stop, answer).await;
+}
+
+/// The answer with these bytes, or an empty one with `status` if there are none.
+fn found_or(status: StatusCode, bytes: Option<Bytes>) -> Response<EdgeBody> {
+    let status = if bytes.is_some() {
+        StatusCode::OK
+    } else {
+        status
     };
+    Response::with_body(status, EdgeBody::whole(bytes.unwrap_or_default()))
+}
+
+/// Serves requests whose answers are known at once.
+async fn serve_at_once<W, S, A>(
+    core: Rc<EdgeCore<W, S>>,
+    listener: TcpListener,
+    stop: watch::Receiver<bool>,
+    answer: A,
+) where
+    W: EdgeWire,
+    S: 'static,
+    A: Fn(&EdgeCore<W, S>, &Request) -> Response<EdgeBody> + 'static,
+{
+    let log = core.log.clone();
+    let handler = move |request: Request| std::future::ready(answer(&core, &request));
     accept(listener, OpenCallers::default(), stop, log, handler).await;
 }
 
