--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -142,13 +142,13 @@
         let send = attempt::send(core, &service, placement.server, request, &stage);
         let result = timeout(left, send).await;
         let Ok(result) = result else {
-            let own = if stage.has_left() || state.may_have_run {
-                OwnAnswer::Late
-            } else {
-                OwnAnswer::LateUnsent
-            };
+            let now = core.clock.now();
+            let mut board = service.board.borrow_mut();
+            board.note_failure(placement.server, now);
+            drop(board);
+            state.may_have_run |= stage.has_left();
             span.failed(&service, &placement, FailureKind::AnswerTimeout);
-            return own.response(REFUSED_RETRY);
+            return time_out(state, request);
         };
         let failure = match result {
             Ok((answer, hold)) => {
@@ -169,8 +169,8 @@
         state.tried.push(placement.server);
         state.arrivals += u32::from(failure.arrived);
         state.may_have_run |= failure.verdict != RunVerdict::NotRun;
-        if core.clock.now() >= request.answer_by && state.may_have_run {
-            return OwnAnswer::Late.response(REFUSED_RETRY);
+        if core.clock.now() >= request.answer_by {
+            return time_out(state, request);
         }
         if !may_send_again(&state, request) {
             return give_up(state, request, REFUSED_RETRY);
@@ -200,6 +200,19 @@
     failed && again && others && rule.repeat == RepeatRule::Idempotent
 }
 
+/// The final answer of a request whose time has run out.
+fn time_out(state: RelayState, request: &EdgeRequest) -> Response<EdgeBody> {
+    if let Some((answer, hold)) = state.turned_down {
+        return pass_on(answer, hold, request);
+    }
+    let own = if state.may_have_run {
+        OwnAnswer::Late
+    } else {
+        OwnAnswer::LateUnsent
+    };
+    own.response(REFUSED_RETRY)
+}
+
 /// The final answer of a request that no server answered well.
 fn give_up(state: RelayState, request: &EdgeRequest, retry_after: Duration) -> Response<EdgeBody> {
     if let Some((answer, hold)) = state.turned_down {
--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -27,8 +27,8 @@
 /// Chooses the gates that serve the callers of `host`.
 ///
 /// In a large data centre the smallest hosts are spared, and fewer gates keep connections to each
-/// server and know more of what is in flight there. The gates are chosen by weighted rendezvous hashing: larger gates more often, and a gate that comes or goes moves
-/// only its own callers.
+/// server and know more of what is in flight there. The gates are chosen by weighted rendezvous
+/// hashing: larger gates more often, and a gate that comes or goes moves only its own callers.
 ///
 /// ```
 /// use ggs_member::{GroupCandidate, choose_group};
--- a/crates/place/src/board.rs
+++ b/crates/place/src/board.rs
@@ -160,6 +160,13 @@
         self.failure_rate * 0.5_f64.powf(idle / FAILURE_HALF_LIFE.as_secs_f64())
     }
 
+    /// Takes an outcome, one for a failure, into the failure rate.
+    fn note_outcome(&mut self, failed: f64, now: Moment) {
+        let rate = self.failures(now);
+        self.failure_rate = rate + (failed - rate) / FAILURE_MEMORY;
+        self.failure_at = now;
+    }
+
     /// The load that the server told at or after `since`, with what was sent to it meanwhile.
     fn told_load(&self, since: Moment) -> Option<LoadSample> {
         let (mut sample, at) = self.sample?;
@@ -409,9 +416,14 @@
                 1.0
             }
         };
-        let rate = entry.failures(now);
-        entry.failure_rate = rate + (failed - rate) / FAILURE_MEMORY;
-        entry.failure_at = now;
+        entry.note_outcome(failed, now);
+    }
+
+    /// Notes that a server did not answer a request in time.
+    pub fn note_failure(&mut self, key: ServerKey, now: Moment) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.note_outcome(1.0, now);
+        }
     }
 
     /// The servers of a scope.
