Tell large changes of the server list in parts, and check gaps by the digest

A trial copy that printed each call showed where they come from: followers that are told of a change of more than 12 servers, or across a gap in the feed, read the store themselves (479 reads of servers, and with each the configuration: 519); at the start each gate took itself for the one that reads, as it knew no other; and each of 129 gates read the list of gates every 40 s.

Ruled out: lost datagrams and changes of the reader (3 gates read on, each every 1.4 s, as planned).

Change: changes go out in parts by size, the last one with the digest, so a gap without news is no gap; a gate that has not read the other gates does not read for its data centre; the fleet reads the list of gates once a second together. The datagram is now bounded by bytes and not by a count.

--- a/crates/edge/src/contacts.rs
+++ b/crates/edge/src/contacts.rs
@@ -11,8 +11,9 @@
 /// data centre of forty gates.
 pub(crate) const GATE_LEASE: Duration = Duration::from_millis(1_800);
 
-/// Time for which a gate that is not heard is still sent datagrams.
-const FORGET_AFTER: Duration = Duration::from_mins(2);
+/// Time for which a gate that is not heard is still sent datagrams; longer than the longest time
+/// between two reads of the gates in the store.
+const FORGET_AFTER: Duration = Duration::from_mins(5);
 
 /// One known gate.
 #[derive(Clone, Debug)]
@@ -30,6 +31,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct GateContacts {
     contacts: HashMap<SocketAddr, GateContact>,
+    /// Whether the gates in the store were read.
+    known: bool,
 }
 
 impl GateContacts {
@@ -45,6 +48,16 @@
         self.contacts.insert(record.peers, contact);
     }
 
+    /// Notes that the gates in the store were read.
+    pub(crate) fn set_known(&mut self) {
+        self.known = true;
+    }
+
+    /// Whether the gates in the store were read.
+    pub(crate) fn is_known(&self) -> bool {
+        self.known
+    }
+
     /// Takes whether the gate at an address can read the store.
     pub(crate) fn note_reads(&mut self, address: SocketAddr, reads_store: bool) {
         if let Some(contact) = self.contacts.get_mut(&address) {
--- a/crates/edge/src/frames.rs
+++ b/crates/edge/src/frames.rs
@@ -81,18 +81,15 @@
     }
 }
 
-/// Changes of the list of servers between two places in its feed.
+/// Changes of the list of servers up to a place in its feed, or a part of them.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct ServersBody {
-    /// Where the changes begin.
-    #[prost(uint64, tag = "1")]
-    pub(crate) after: u64,
-    /// Where they end.
+    /// Where the changes end.
     #[prost(uint64, tag = "2")]
     pub(crate) cursor: u64,
-    /// Digest of the list at the end.
-    #[prost(uint64, tag = "3")]
-    pub(crate) digest: u64,
+    /// Digest of the list at the end; `None` if more changes follow.
+    #[prost(uint64, optional, tag = "3")]
+    pub(crate) digest: Option<u64>,
     /// The changes.
     #[prost(message, repeated, tag = "4")]
     changes: Vec<ChangeBody>,
@@ -131,18 +128,39 @@
 }
 
 impl ServersBody {
-    /// Changes from `after` to `cursor`.
-    pub(crate) fn new(
-        after: FeedCursor,
+    /// Changes up to `cursor` in parts of `max_bytes`, or of one change if that is longer. The last
+    /// part, which may hold none, tells the digest.
+    pub(crate) fn split(
         cursor: FeedCursor,
         digest: u64,
         changes: &[FeedChange<ServerRecord>],
-    ) -> Self {
+        max_bytes: usize,
+    ) -> Vec<Self> {
+        let mut parts = vec![Self::part(cursor)];
+        let mut used = 0;
+        for change in changes.iter().map(ChangeBody::from) {
+            let size = change.encoded_len();
+            if used > 0 && used + size > max_bytes {
+                parts.push(Self::part(cursor));
+                used = 0;
+            }
+            used += size;
+            if let Some(part) = parts.last_mut() {
+                part.changes.push(change);
+            }
+        }
+        if let Some(last) = parts.last_mut() {
+            last.digest = Some(digest);
+        }
+        parts
+    }
+
+    /// A part without changes.
+    fn part(cursor: FeedCursor) -> Self {
         Self {
-            after: after.0,
             cursor: cursor.0,
-            digest,
-            changes: changes.iter().map(ChangeBody::from).collect(),
+            digest: None,
+            changes: Vec::new(),
         }
     }
 
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -26,9 +26,17 @@
 /// Time for each gate of a large data centre by which the datagrams of one are apart.
 const HELLO_PERIOD_PER_GATE: Duration = Duration::from_millis(20);
 
-/// Time between two reads of the gates in the store.
+/// Shortest time between two reads of the gates in the store. A gate that starts reads them and says
+/// hello to its data centre, so later reads only mend what was lost.
 const STORE_PERIOD: Duration = Duration::from_secs(40);
 
+/// Time for each gate of a large fleet by which the reads of one are apart, so that the store is not
+/// read more often by more gates.
+const STORE_PERIOD_PER_GATE: Duration = Duration::from_secs(1);
+
+/// Longest time between two reads of the gates in the store.
+const MAX_STORE_PERIOD: Duration = Duration::from_mins(3);
+
 /// Longest datagram.
 const MAX_DATAGRAM: usize = 1_400;
 
@@ -66,6 +74,7 @@
                 for gate in &gates {
                     contacts.note(&gate.record, gate.capacity, now);
                 }
+                contacts.set_known();
                 drop(contacts);
                 core.refresh_services(now);
             }
@@ -74,10 +83,17 @@
                 continue;
             }
         }
-        sleep(STORE_PERIOD.mul_f64(rand::random_range(0.8..1.2))).await;
+        let period = store_period(core.fleet_size());
+        sleep(period.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
 
+/// Mean time between two reads of the gates in the store by each of `gates`.
+fn store_period(gates: usize) -> Duration {
+    let period = STORE_PERIOD_PER_GATE * gates as u32;
+    period.clamp(STORE_PERIOD, MAX_STORE_PERIOD)
+}
+
 /// Pause between looks at whether the gate is ready.
 const READY_CHECK: Duration = Duration::from_millis(20);
 
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -29,8 +29,14 @@
 /// Shortest pause between two reads.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
-/// Changes in one datagram at most; hundred bytes each.
-const MAX_CHANGES: usize = 12;
+/// Bytes of changes in one datagram at most, so that it fits into one packet with what else it tells.
+const MAX_CHANGE_BYTES: usize = 1_100;
+
+/// Datagrams that tell the changes of one read at most; a gate that is told of more reads them itself.
+const MAX_PARTS: usize = 16;
+
+/// Time between two looks at whether this gate reads for its data centre.
+const ROLE_CHECK: Duration = Duration::from_millis(250);
 
 /// The gate that reads the store for its data centre: the first by name of those that live there and
 /// can read it.
@@ -54,9 +60,9 @@
         self.follow.known_at.get() + drain * SILENCE_PERCENT / 100
     }
 
-    /// Whether this gate reads for its data centre.
+    /// Whether this gate reads for its data centre. A gate that does not know the others yet does not.
     pub(crate) fn is_reader(&self, now: Moment) -> bool {
-        if !self.is_ready() {
+        if !self.is_ready() || !self.contacts.borrow().is_known() {
             return false;
         }
         let gates = self.gates.borrow();
@@ -83,23 +89,30 @@
         if own > body.cursor {
             return;
         }
-        if own < body.after {
-            self.follow.differs.set(true);
-            self.follow.told.notify_one();
-            return;
-        }
         let page = FeedPage {
             whole: false,
             changes: body.changes(),
             cursor: FeedCursor(body.cursor),
         };
+        let Some(digest) = body.digest else {
+            self.take_part(page);
+            return;
+        };
+        // What this gate missed before the changes shows in the digest.
         self.take_page(page);
-        if self.catalog.borrow().digest() != body.digest {
+        if self.catalog.borrow().digest() != digest {
             self.follow.differs.set(true);
         }
         self.follow.told.notify_one();
     }
 
+    /// Takes some of the changes of a page; the last part tells how far it reaches.
+    fn take_part(&self, part: FeedPage<ServerRecord>) {
+        let now = self.clock.now();
+        let news = self.catalog.borrow_mut().apply(part, now);
+        self.take_news(news);
+    }
+
     /// Takes a page that is the newest there is.
     fn take_page(&self, page: FeedPage<ServerRecord>) {
         let now = self.clock.now();
@@ -180,26 +193,29 @@
     W: EdgeWire,
     S: FleetStore,
 {
-    let before = core.follow.cursor.get();
+    let told_before = core.follow.cursor.get().is_some();
     let cursor = page.cursor;
     let mut changes = page.changes.clone();
     changes.retain(|change| core.catalog.borrow().is_news(change));
     let whole = page.whole;
     core.take_page(page);
-    let (Some(after), false) = (before, whole) else {
-        return;
-    };
-    if changes.len() > MAX_CHANGES || !core.is_reader(core.clock.now()) {
+    if !told_before || whole || !core.is_reader(core.clock.now()) {
         return;
     }
     let digest = core.catalog.borrow().digest();
-    let datagram = Datagram {
-        servers: Some(ServersBody::new(after, cursor, digest, &changes)),
-        config_version: core.configs.version(),
-        reads_store: true,
-        ..Datagram::default()
-    };
-    send_to_near(core, socket, &datagram).await;
+    let parts = ServersBody::split(cursor, digest, &changes, MAX_CHANGE_BYTES);
+    if parts.len() > MAX_PARTS {
+        return;
+    }
+    for part in parts {
+        let datagram = Datagram {
+            servers: Some(part),
+            config_version: core.configs.version(),
+            reads_store: true,
+            ..Datagram::default()
+        };
+        send_to_near(core, socket, &datagram).await;
+    }
 }
 
 /// Waits until this gate has to read the store.
@@ -224,6 +240,6 @@
             return;
         }
         // Woken or not, the loop decides anew.
-        let _woken = timeout(pause, core.follow.told.notified()).await;
+        let _woken = timeout(pause.min(ROLE_CHECK), core.follow.told.notified()).await;
     }
 }
