Let the gates of a new fleet ask one another instead of the store

Tried and dropped: telling a first start by a conditional write of the gate's own row. Also dropped: no wait before a gate takes itself for the one that reads; none has heard another by then (18 reads of configurations by 10 gates).

Change: the settings tell whether the fleet is new. Then the first two gates of a data centre by address read; the others ask gates over the port by which they hand configurations on, now also the list of servers with its age and digest, for 0.6 s at most, and leave reading to others for 2 s. Any other start reads the store at once, and writes its row only if that changed. Hellos tell the version in force. A draining gate is not taken for the one that reads.

Tests: few_gates_of_a_new_fleet_read_the_store (10 reads before, 5 allowed), a_gate_of_a_new_fleet_reads_itself_when_no_gate_tells_it. The first one failed once with 'Address already in use': the tests of platform/ took ports that the system gives to outgoing connections. They use the tests' other scheme now, which moved to ggs-standin as free_address and checks UDP as well; ggs-demo uses it too.

--- a/crates/demo/src/scene.rs
+++ b/crates/demo/src/scene.rs
@@ -1,7 +1,6 @@
 //! The parts of the demonstration: platform, servers, documents and gates.
 
-use std::io;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,7 +13,8 @@
 use ggs_observe::{EventLog, LogFormat};
 use ggs_settings::{ChoicePolicy, GateSettings};
 use ggs_standin::{
-    PlatformHandle, PlatformOptions, ServerHandle, ServerOptions, start_platform, start_server,
+    PlatformHandle, PlatformOptions, ServerHandle, ServerOptions, free_address, start_platform,
+    start_server,
 };
 use ggs_store::HttpPlatform;
 
@@ -226,10 +226,8 @@
 
 /// Starts the gates, each of which knows the others' addresses.
 async fn start_gates(platform: &str) -> Result<Vec<GateHandle>, DemoError> {
-    let mut settings = Vec::new();
-    for number in 0..GATE_COUNT {
-        settings.push(gate_settings(number, platform).map_err(DemoError::Standin)?);
-    }
+    let settings = (0..GATE_COUNT).map(|number| gate_settings(number, platform));
+    let settings: Vec<_> = settings.collect();
     let peers: Vec<_> = settings.iter().map(|gate| gate.listen_peers).collect();
     let mut gates = Vec::new();
     for mut gate in settings {
@@ -241,12 +239,12 @@
 }
 
 /// Settings of one gate on free ports.
-fn gate_settings(number: usize, platform: &str) -> io::Result<GateSettings> {
-    Ok(GateSettings {
+fn gate_settings(number: usize, platform: &str) -> GateSettings {
+    GateSettings {
         host: HostName::new(&format!("entry-{number}")),
         data_centre: data_centre(number),
-        listen_callers: free_address()?,
-        listen_peers: free_address()?,
+        listen_callers: free_address(),
+        listen_peers: free_address(),
         platform: platform.to_owned(),
         peers: Vec::new(),
         entry_ttl_ms: ENTRY_TTL_MS,
@@ -256,10 +254,5 @@
         in_flight_limit: 2_048,
         caller_stall_ms: 20_000,
         server_choice: ChoicePolicy::Signals,
-    })
-}
-
-/// A loopback address that was free a moment ago.
-fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()
+    }
 }
--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -147,6 +147,23 @@
         lapses.filter_map(|entry| entry.lapses_at).min()
     }
 
+    /// All servers whose rows stand, as changes of an empty list.
+    pub(crate) fn all(&self, now: Moment) -> Vec<FeedChange<ServerRecord>> {
+        let entries = self.entries.iter();
+        let standing = entries.filter(|(_, entry)| entry.lapses_at.is_none());
+        let changes = standing.map(|(key, entry)| {
+            let cold_left = entry.cold_until.since(now);
+            FeedChange {
+                key: Arc::clone(key),
+                value: FeedValue::Present(ServerRecord {
+                    cold_left,
+                    ..entry.record.clone()
+                }),
+            }
+        });
+        changes.collect()
+    }
+
     /// The servers that take new work, with the moment until which each is slow.
     pub fn usable(&self) -> impl Iterator<Item = (&ServerRecord, Moment)> {
         let entries = self.entries.values();
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use actix_http::header::{HOST, HeaderValue};
-use actix_http::{RequestHead, StatusCode};
+use actix_http::{RequestHead, StatusCode, Uri};
 use bytes::Bytes;
 use ggs_model::Clock;
 use ggs_observe::LogEvent;
@@ -33,8 +33,11 @@
 /// Time for a read from another gate of the data centre.
 const GATE_READ_TIME: Duration = Duration::from_millis(300);
 
-/// Longest configuration that is read from another gate, in bytes.
-const MAX_CONFIG_BYTES: usize = 1 << 20;
+/// Longest answer of another gate, in bytes.
+const MAX_FETCHED_BYTES: usize = 1 << 20;
+
+/// Where a gate tells others its configuration.
+pub(crate) const CONFIG_PATH: &str = "/config";
 
 /// Time between two looks at the settings.
 const SETTINGS_PERIOD: Duration = Duration::from_secs(3);
@@ -55,7 +58,8 @@
         }
         let now = core.clock.now();
         let known = core.routes().is_some();
-        let waits = !known || core.is_reader(now);
+        let waits_for_first = !known && now >= core.follow.left_until.get();
+        let waits = waits_for_first || core.is_reader(now);
         if !waits && !core.configs.due.take() {
             // Woken or not, the loop decides anew.
             let _woken = timeout(ROLE_CHECK, core.configs.told.notified()).await;
@@ -72,7 +76,7 @@
                 if core.routes().is_none() {
                     sleep(FIRST_CONFIG_PAUSE).await;
                 }
-                if before > 0 && core.configs.version() > before {
+                if core.configs.version() > before {
                     tell_version(&core, &socket).await;
                 }
             }
@@ -102,9 +106,7 @@
 where
     W: EdgeWire,
 {
-    let read = timeout(GATE_READ_TIME, fetch(core, address)).await;
-    let read = read.unwrap_or(Err(FailureKind::AnswerTimeout));
-    let bytes = match read {
+    let bytes = match fetch(core, address, CONFIG_PATH).await {
         Ok(bytes) => bytes,
         Err(cause) => {
             let pairs = slog::o!("gate" => address.to_string(), "cause" => cause.to_string());
@@ -118,12 +120,27 @@
     true
 }
 
-/// Asks another gate for its configuration.
-async fn fetch<W, S>(core: &EdgeCore<W, S>, address: SocketAddr) -> Result<Bytes, FailureKind> {
+/// Asks another gate for what it knows.
+pub(crate) async fn fetch<W, S>(
+    core: &EdgeCore<W, S>,
+    address: SocketAddr,
+    path: &'static str,
+) -> Result<Bytes, FailureKind> {
+    let fetched = timeout(GATE_READ_TIME, fetch_slowly(core, address, path)).await;
+    fetched.unwrap_or(Err(FailureKind::AnswerTimeout))
+}
+
+/// Asks another gate for what it knows, without a limit on time.
+async fn fetch_slowly<W, S>(
+    core: &EdgeCore<W, S>,
+    address: SocketAddr,
+    path: &'static str,
+) -> Result<Bytes, FailureKind> {
     let options = core.pool.options();
     let connection = ServerConnection::open(address, options, &core.codec).await;
     let mut connection = connection.map_err(|_| FailureKind::ConnectFailed)?;
     let mut head = RequestHead::default();
+    head.uri = Uri::from_static(path);
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
         head.headers.insert(HOST, host);
     }
@@ -133,7 +150,7 @@
     if head.status != StatusCode::OK {
         return Err(FailureKind::Refused);
     }
-    connection.read_whole_body(MAX_CONFIG_BYTES).await
+    connection.read_whole_body(MAX_FETCHED_BYTES).await
 }
 
 /// Takes the configurations of a page.
@@ -151,7 +168,7 @@
 }
 
 /// Puts a configuration in force if it can be read and is newer.
-fn take_config<W, S>(core: &EdgeCore<W, S>, bytes: Bytes)
+pub(crate) fn take_config<W, S>(core: &EdgeCore<W, S>, bytes: Bytes)
 where
     W: EdgeWire,
 {
--- a/crates/edge/src/contacts.rs
+++ b/crates/edge/src/contacts.rs
@@ -83,6 +83,12 @@
         contacts.map(|(address, _)| *address).collect()
     }
 
+    /// Gates of a data centre whose addresses for datagrams come before `own`.
+    pub(crate) fn rank_of(&self, own: SocketAddr, data_centre: &DataCentre) -> usize {
+        let peers = self.peers_of(data_centre);
+        peers.into_iter().filter(|peer| *peer < own).count()
+    }
+
     /// Size of the gate at an address for datagrams; one if it is not known.
     pub(crate) fn capacity_of(&self, address: SocketAddr) -> u32 {
         let contact = self.contacts.get(&address);
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -69,6 +69,8 @@
     pub(crate) known_at: Cell<Moment>,
     /// Whether what another gate told does not fit this gate's list.
     pub(crate) differs: Cell<bool>,
+    /// Until when a gate of a new fleet leaves it to others to read.
+    pub(crate) left_until: Cell<Moment>,
     /// Whether the last read failed.
     pub(crate) failing: Cell<bool>,
     pub(crate) told: Notify,
--- a/crates/edge/src/frames.rs
+++ b/crates/edge/src/frames.rs
@@ -95,6 +95,17 @@
     changes: Vec<ChangeBody>,
 }
 
+/// All servers that a gate knows.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ServerListBody {
+    /// The servers, as changes of an empty list.
+    #[prost(message, required, tag = "1")]
+    pub(crate) servers: ServersBody,
+    /// Milliseconds since the sender knew the list to be the newest.
+    #[prost(uint64, tag = "2")]
+    pub(crate) age_ms: u64,
+}
+
 /// One change.
 #[derive(Clone, PartialEq, Message)]
 struct ChangeBody {
@@ -155,6 +166,19 @@
         parts
     }
 
+    /// All of them at once.
+    pub(crate) fn whole(
+        cursor: FeedCursor,
+        digest: u64,
+        changes: &[FeedChange<ServerRecord>],
+    ) -> Self {
+        Self {
+            cursor: cursor.0,
+            digest: Some(digest),
+            changes: changes.iter().map(ChangeBody::from).collect(),
+        }
+    }
+
     /// A part without changes.
     fn part(cursor: FeedCursor) -> Self {
         Self {
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -17,7 +17,7 @@
 
 use crate::core::EdgeCore;
 use crate::frames::Datagram;
-use crate::ports::{EdgeWire, FleetStore, GateEntry};
+use crate::ports::{EdgeWire, FleetError, FleetStore, GateEntry};
 use crate::store_health::StoreHealth;
 
 /// Shortest time between two datagrams to each gate of the data centre.
@@ -40,49 +40,55 @@
 /// Longest datagram.
 const MAX_DATAGRAM: usize = 1_400;
 
-/// Registers this gate in the store once it is ready, and reads the others from time to time.
+impl<W, S> EdgeCore<W, S>
+where
+    W: EdgeWire,
+    S: FleetStore,
+{
+    /// This gate as it registers itself.
+    pub(crate) fn own_entry(&self) -> GateEntry {
+        GateEntry {
+            record: self.gates.borrow().own().clone(),
+            capacity: self.settings().capacity(),
+        }
+    }
+
+    /// Reads the gates in the store, and registers this one if it is not among them.
+    pub(crate) async fn read_gates(&self) -> Result<(), FleetError> {
+        let own = self.own_entry();
+        let mut gates = self.store.read_gates().await?;
+        if !gates.iter().any(|gate| gate.is_at(&own)) {
+            self.store.write_gate(&own).await?;
+            // Of two gates that register at once, one at least finds the other.
+            gates = self.store.read_gates().await?;
+        }
+        let now = self.clock.now();
+        let mut contacts = self.contacts.borrow_mut();
+        for gate in &gates {
+            contacts.note(&gate.record, gate.capacity, now);
+        }
+        contacts.set_known();
+        drop(contacts);
+        self.refresh_services(now);
+        Ok(())
+    }
+}
+
+/// Registers this gate in the store, and reads the others from time to time.
 pub(crate) async fn follow_store<W, S>(core: Rc<EdgeCore<W, S>>)
 where
     W: EdgeWire,
     S: FleetStore,
 {
     let mut health = StoreHealth::new(&core.log, "gates");
-    let mut registered = false;
+    let mut known = core.contacts.borrow().is_known();
     loop {
-        if !registered && core.is_ready() {
-            let own = GateEntry {
-                record: core.gates.borrow().own().clone(),
-                capacity: core.settings().capacity(),
-            };
-            match core.store.write_gate(&own).await {
-                Ok(()) => registered = true,
-                Err(error) => {
-                    sleep(health.failed(&error, core.near_gates())).await;
-                    continue;
-                }
-            }
-        }
-        if !registered {
-            sleep(READY_CHECK).await;
+        if !known && let Err(error) = core.read_gates().await {
+            sleep(health.failed(&error, core.near_gates())).await;
             continue;
         }
-        match core.store.read_gates().await {
-            Ok(gates) => {
-                health.succeeded();
-                let now = core.clock.now();
-                let mut contacts = core.contacts.borrow_mut();
-                for gate in &gates {
-                    contacts.note(&gate.record, gate.capacity, now);
-                }
-                contacts.set_known();
-                drop(contacts);
-                core.refresh_services(now);
-            }
-            Err(error) => {
-                sleep(health.failed(&error, core.near_gates())).await;
-                continue;
-            }
-        }
+        known = false;
+        health.succeeded();
         let period = store_period(core.fleet_size());
         sleep(period.mul_f64(rand::random_range(0.8..1.2))).await;
     }
@@ -120,7 +126,7 @@
 }
 
 /// Sends one round of datagrams; yields to how many gates.
-async fn say_hello<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) -> usize {
+pub(crate) async fn say_hello<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) -> usize {
     let mut record = core.gates.borrow().own().clone();
     if !core.is_ready() {
         record.state = GateState::Draining;
@@ -144,6 +150,7 @@
     Datagram {
         peer: Some(encode_message(message)),
         reads_store: core.reads_store(),
+        config_version: core.configs.version(),
         capacity: core.settings().capacity(),
         ..Datagram::default()
     }
--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -10,16 +10,16 @@
 use tokio::signal::unix::Signal;
 use tokio::sync::watch;
 
-use crate::config::{follow_configs, follow_settings};
+use crate::config::follow_settings;
 use crate::core::EdgeCore;
 use crate::drain::drain;
 use crate::gates;
+use crate::learn::learn;
 use crate::listen::{
-    OpenCallers, serve_callers, serve_configs, serve_entries, serve_metrics, serve_ready,
+    OpenCallers, serve_callers, serve_entries, serve_gates, serve_metrics, serve_ready,
 };
 use crate::news;
 use crate::ports::{EdgeWire, FleetStore, SettingsSource};
-use crate::servers::follow_servers;
 use crate::settings::EdgeSettings;
 
 /// Why a gate did not start.
@@ -88,12 +88,10 @@
     actix_rt::spawn(serve_callers(own(&core), callers, open.clone(), stopped));
     actix_rt::spawn(serve_ready(own(&core), ready, finished.clone()));
     actix_rt::spawn(serve_entries(own(&core), entries, finished.clone()));
-    actix_rt::spawn(serve_configs(own(&core), configs, finished.clone()));
+    actix_rt::spawn(serve_gates(own(&core), configs, finished.clone()));
     actix_rt::spawn(serve_metrics(own(&core), metrics, finished));
-    actix_rt::spawn(follow_configs(own(&core), Rc::clone(&socket)));
-    actix_rt::spawn(follow_servers(own(&core), Rc::clone(&socket)));
     actix_rt::spawn(news::spread(own(&core), Rc::clone(&socket)));
-    actix_rt::spawn(gates::follow_store(own(&core)));
+    actix_rt::spawn(learn(own(&core), Rc::clone(&socket)));
     actix_rt::spawn(gates::announce(own(&core), Rc::clone(&socket)));
     actix_rt::spawn(gates::hear(own(&core), Rc::clone(&socket)));
     let pairs = slog::o!("callers" => settings.listen_callers.to_string());
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod frames;
 mod gates;
 mod handle;
+mod learn;
 mod listen;
 mod metrics;
 mod news;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -15,10 +15,12 @@
 use tokio::sync::watch;
 
 use crate::body::EdgeBody;
+use crate::config::CONFIG_PATH;
 use crate::core::EdgeCore;
 use crate::entries::entry_answer;
 use crate::ports::EdgeWire;
 use crate::serve;
+use crate::servers::SERVERS_PATH;
 
 /// Time for which an idle connection of a caller is kept; longer than callers reuse theirs, whatever
 /// the limit that their configuration names.
@@ -125,8 +127,8 @@
     serve_at_once(core, listener, stop, answer).await;
 }
 
-/// Answers other gates that want the configuration in force.
-pub(crate) async fn serve_configs<W, S>(
+/// Answers other gates that want the configuration in force or the list of servers.
+pub(crate) async fn serve_gates<W, S>(
     core: Rc<EdgeCore<W, S>>,
     listener: TcpListener,
     stop: watch::Receiver<bool>,
@@ -134,8 +136,13 @@
     W: EdgeWire,
     S: 'static,
 {
-    let answer = |core: &EdgeCore<W, S>, _: &Request| {
-        found_or(StatusCode::SERVICE_UNAVAILABLE, core.configs.bytes())
+    let answer = |core: &EdgeCore<W, S>, request: &Request| {
+        let known = match request.path() {
+            CONFIG_PATH => core.configs.bytes(),
+            SERVERS_PATH => core.tell_servers(),
+            _ => return found_or(StatusCode::NOT_FOUND, None),
+        };
+        found_or(StatusCode::SERVICE_UNAVAILABLE, known)
     };
     serve_at_once(core, listener, stop, answer).await;
 }
--- a/crates/edge/src/ports.rs
+++ b/crates/edge/src/ports.rs
@@ -150,6 +150,18 @@
     pub capacity: u32,
 }
 
+impl GateEntry {
+    /// Whether an entry names this gate's host where this one stands, whichever its run.
+    pub fn is_at(&self, other: &Self) -> bool {
+        let (one, other_record) = (&self.record, &other.record);
+        one.gate.host == other_record.gate.host
+            && one.data_centre == other_record.data_centre
+            && one.callers == other_record.callers
+            && one.peers == other_record.peers
+            && self.capacity == other.capacity
+    }
+}
+
 /// Why a call to the store has no result.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetError {
@@ -209,7 +221,7 @@
     /// Reads the gates that registered themselves.
     fn read_gates(&self) -> impl Future<Output = Result<Vec<GateEntry>, FleetError>>;
 
-    /// Registers a gate.
+    /// Registers a gate, in place of what its host registered before.
     fn write_gate(&self, gate: &GateEntry) -> impl Future<Output = Result<(), FleetError>>;
 
     /// Removes a gate.
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -6,15 +6,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ggs_member::GateRecord;
+use bytes::Bytes;
+use ggs_member::{GateRecord, GateState};
 use ggs_model::{Clock, DataCentre, Moment};
 use ggs_observe::LogEvent;
+use prost::Message;
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
 
 use crate::catalog::CatalogNews;
 use crate::core::EdgeCore;
-use crate::frames::{Datagram, ServersBody};
+use crate::frames::{Datagram, ServerListBody, ServersBody};
 use crate::gates::send_to_near;
 use crate::ports::{EdgeWire, FeedCursor, FeedPage, FleetError, FleetStore, ServerRecord};
 use crate::store_health::StoreHealth;
@@ -26,6 +28,9 @@
 /// Time without a word after which a gate reads itself, in percent of the same.
 const SILENCE_PERCENT: u32 = 78;
 
+/// Where a gate tells others its list of servers.
+pub(crate) const SERVERS_PATH: &str = "/servers";
+
 /// Shortest pause between two reads.
 const MIN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -62,14 +67,17 @@
 
     /// Whether this gate reads for its data centre. A gate that does not know the others yet does not.
     pub(crate) fn is_reader(&self, now: Moment) -> bool {
-        if !self.is_ready() || !self.contacts.borrow().is_known() {
+        let meets_others = !self.contacts.borrow().is_known() || now < self.follow.left_until.get();
+        if !self.is_ready() || meets_others {
             return false;
         }
         let gates = self.gates.borrow();
         let contacts = self.contacts.borrow();
         let own = gates.own();
         let handed = gates.handed_out(now);
-        let able = handed.live.iter().map(|gate| {
+        let live = handed.live.iter();
+        let live = live.filter(|gate| gate.state == GateState::Live);
+        let able = live.map(|gate| {
             let reads = if gate.gate == own.gate {
                 self.reads_store()
             } else {
@@ -106,6 +114,39 @@
         self.follow.told.notify_one();
     }
 
+    /// The list of servers for a gate that starts; `None` if this gate may not know the newest.
+    pub(crate) fn tell_servers(&self) -> Option<Bytes> {
+        let now = self.clock.now();
+        let cursor = self.follow.cursor.get()?;
+        if now >= self.silent_at() || self.follow.differs.get() {
+            return None;
+        }
+        let catalog = self.catalog.borrow();
+        let list = ServerListBody {
+            servers: ServersBody::whole(cursor, catalog.digest(), &catalog.all(now)),
+            age_ms: now.since(self.follow.known_at.get()).as_millis() as u64,
+        };
+        Some(list.encode_to_vec().into())
+    }
+
+    /// Takes the list of servers of another gate; false if it cannot be read or is not whole.
+    pub(crate) fn take_list(&self, bytes: &[u8]) -> bool {
+        let Ok(list) = ServerListBody::decode(bytes) else {
+            return false;
+        };
+        let page = FeedPage {
+            whole: true,
+            changes: list.servers.changes(),
+            cursor: FeedCursor(list.servers.cursor),
+        };
+        self.take_page(page);
+        let known_at = self.clock.now() - Duration::from_millis(list.age_ms);
+        self.follow.known_at.set(known_at);
+        let same = Some(self.catalog.borrow().digest()) == list.servers.digest;
+        self.follow.differs.set(!same);
+        same
+    }
+
     /// Takes some of the changes of a page; the last part tells how far it reaches.
     fn take_part(&self, part: FeedPage<ServerRecord>) {
         let now = self.clock.now();
@@ -161,6 +202,10 @@
     S: FleetStore,
 {
     let mut health = StoreHealth::new(&core.log, "servers");
+    if core.follow.cursor.get().is_some() {
+        // Another gate told the list at the start.
+        wait_for_next(&core).await;
+    }
     loop {
         // Rows that lapsed are given up in time, whether or not the store answers.
         core.expire_servers();
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -39,6 +39,8 @@
     pub listen_metrics: SocketAddr,
     /// Where other gates send datagrams.
     pub listen_gates: SocketAddr,
+    /// Whether the whole fleet starts for the first time.
+    pub new_fleet: bool,
     /// Part of a core that the host has.
     pub cpu_share: f64,
     /// Megabits a second of the host's own link.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,6 +3,7 @@
 //! They meet the contracts of the outside systems over real sockets, and their faults are switched
 //! while they run. Each runs on the thread of the runtime that starts it; nothing is kept on disk.
 
+mod address;
 mod answer;
 mod args;
 mod connection;
@@ -19,6 +20,7 @@
 mod slots;
 mod work;
 
+pub use address::free_address;
 pub use answer::{AnswerBody, DIGEST_BYTES};
 pub use faults::{DownMode, PlatformFaults, ServerFaults};
 pub use fuzz::{FuzzHandle, FuzzMove, FuzzRecord, start_fuzzer};
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use std::fs::File;
 use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::Arc;
@@ -18,6 +18,7 @@
 use ggs_follow::{AcceptOutcome, DocumentEdit, accept_edit};
 use ggs_model::{DataCentre, DocumentRevision, EditId, HostName, ServiceDocument, StatusAnswer};
 use ggs_settings::{ChoicePolicy, GateSettings};
+pub use ggs_standin::free_address;
 use ggs_store::HttpPlatform;
 use rustix::process::{Pid, Signal, kill_process};
 
@@ -30,32 +31,6 @@
 /// Longest time of one call.
 const CALL_LIMIT: Duration = Duration::from_secs(20);
 
-/// First port that tests listen on.
-const FIRST_PORT: u32 = 10_000;
-
-/// Ports that tests listen on: all below those that the system gives to outgoing connections.
-const PORT_COUNT: u32 = 20_000;
-
-/// Distance between the first ports of two test processes that start one after the other.
-const PROCESS_STRIDE: u32 = 97;
-
-/// A loopback address that was free a moment ago and that no other call here returns soon.
-///
-/// A port that the system chooses would not do: between this call and the start of the program that
-/// binds it, an outgoing connection of another test can take it.
-pub fn free_address() -> SocketAddr {
-    static NEXT: AtomicU32 = AtomicU32::new(0);
-    loop {
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let start = std::process::id().wrapping_mul(PROCESS_STRIDE);
-        let port = FIRST_PORT + start.wrapping_add(number) % PORT_COUNT;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 /// A new file name under the tests' own directory.
 pub fn scratch_file(name: &str) -> PathBuf {
     static NEXT: AtomicU32 = AtomicU32::new(0);
