--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -51,7 +51,7 @@
 {
     let mut health = StoreHealth::new(&core.log, "configurations");
     loop {
-        if let Some((_, address)) = core.configs.offered.take()
+        if let Some(address) = core.configs.offered.take()
             && read_from_gate(&core, address).await
         {
             continue;
@@ -67,7 +67,12 @@
         }
         let cursor = core.configs.cursor.get();
         let wait = if waits { CONFIG_WAIT } else { Duration::ZERO };
-        match core.store.read_configs(cursor, wait).await {
+        let read = tokio::select! {
+            read = core.store.read_configs(cursor, wait) => read,
+            // The store may have forgotten a call that waits.
+            () = core.configs.told.notified(), if waits => continue,
+        };
+        match read {
             Ok(page) => {
                 health.succeeded();
                 core.configs.cursor.set(Some(page.cursor));
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -25,8 +25,8 @@
     pub(crate) cursor: Cell<Option<FeedCursor>>,
     /// The configuration in force, for other gates.
     pub(crate) text: RefCell<Option<ConfigText>>,
-    /// A newer version than the one in force, and the gate that has it.
-    pub(crate) offered: Cell<Option<(u64, SocketAddr)>>,
+    /// A gate that has a newer configuration in force.
+    pub(crate) offered: Cell<Option<SocketAddr>>,
     /// Whether this gate has to read the store itself.
     pub(crate) due: Cell<bool>,
     pub(crate) told: Notify,
@@ -48,7 +48,7 @@
     /// Takes that the gate at `address` has `version` in force.
     pub(crate) fn hear_version(&self, version: u64, address: SocketAddr) {
         if version > self.version() {
-            self.offered.set(Some((version, address)));
+            self.offered.set(Some(address));
             self.told.notify_one();
         }
     }
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -129,13 +129,14 @@
             Ok(placement) => placement,
             Err(refusal) => {
                 span.refused(&service, &refusal);
-                return give_up(state, request, refusal.retry_after);
+                return fail(state, request, NO_SERVER, refusal.retry_after);
             }
         };
-        span.sends(&service, &placement);
         if state.arrivals > 0 && !service.retries.borrow_mut().take() {
-            return give_up(state, request, REFUSED_RETRY);
+            span.not_repeated(&service);
+            return fail(state, request, NO_SERVER, REFUSED_RETRY);
         }
+        span.sends(&service, &placement);
         let sent_at = core.clock.now();
         let stage = SendStage::default();
         let left = request.answer_by.since(sent_at);
@@ -148,7 +149,7 @@
             drop(board);
             state.may_have_run |= stage.has_left();
             span.failed(&service, &placement, FailureKind::AnswerTimeout);
-            return time_out(state, request);
+            return fail(state, request, OUT_OF_TIME, REFUSED_RETRY);
         };
         let failure = match result {
             Ok((answer, hold)) => {
@@ -170,10 +171,10 @@
         state.arrivals += u32::from(failure.arrived);
         state.may_have_run |= failure.verdict != RunVerdict::NotRun;
         if core.clock.now() >= request.answer_by {
-            return time_out(state, request);
+            return fail(state, request, OUT_OF_TIME, REFUSED_RETRY);
         }
         if !may_send_again(&state, request) {
-            return give_up(state, request, REFUSED_RETRY);
+            return fail(state, request, NO_SERVER, REFUSED_RETRY);
         }
     }
 }
@@ -200,28 +201,41 @@
     failed && again && others && rule.repeat == RepeatRule::Idempotent
 }
 
-/// The final answer of a request whose time has run out.
-fn time_out(state: RelayState, request: &EdgeRequest) -> Response<EdgeBody> {
-    if let Some((answer, hold)) = state.turned_down {
-        return pass_on(answer, hold, request);
-    }
-    let own = if state.may_have_run {
-        OwnAnswer::Late
-    } else {
-        OwnAnswer::LateUnsent
-    };
-    own.response(REFUSED_RETRY)
+/// What the caller of a request without a good answer is told.
+#[derive(Clone, Copy, Debug)]
+struct FailureAnswers {
+    /// If the request may have run.
+    run: OwnAnswer,
+    /// If it has not.
+    not_run: OwnAnswer,
 }
 
+/// The time of the request has run out.
+const OUT_OF_TIME: FailureAnswers = FailureAnswers {
+    run: OwnAnswer::Late,
+    not_run: OwnAnswer::LateUnsent,
+};
+
+/// No server is left to send it to.
+const NO_SERVER: FailureAnswers = FailureAnswers {
+    run: OwnAnswer::ServerFailed,
+    not_run: OwnAnswer::NoCapacity,
+};
+
 /// The final answer of a request that no server answered well.
-fn give_up(state: RelayState, request: &EdgeRequest, retry_after: Duration) -> Response<EdgeBody> {
+fn fail(
+    state: RelayState,
+    request: &EdgeRequest,
+    answers: FailureAnswers,
+    retry_after: Duration,
+) -> Response<EdgeBody> {
     if let Some((answer, hold)) = state.turned_down {
         return pass_on(answer, hold, request);
     }
     let own = if state.may_have_run {
-        OwnAnswer::ServerFailed
+        answers.run
     } else {
-        OwnAnswer::NoCapacity
+        answers.not_run
     };
     own.response(retry_after)
 }
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -215,7 +215,9 @@
         match read {
             Ok(page) => {
                 health.succeeded();
-                core.follow.failing.set(false);
+                if core.follow.failing.replace(false) {
+                    core.configs.set_due();
+                }
                 take_read(&core, &socket, page).await;
                 wait_for_next(&core).await;
             }
--- a/crates/edge/src/span.rs
+++ b/crates/edge/src/span.rs
@@ -81,6 +81,19 @@
         log.emit(LogEvent::RequestRefused, "no server answers in time", pairs);
     }
 
+    /// Logs that the second sends of the fleet are used up.
+    pub(crate) fn not_repeated(&self, service: &ServiceState) {
+        let pairs = slog::o!(
+            "request" => self.id.clone(),
+            "service" => service.name.to_string(),
+            "held_ms" => self.held_ms(),
+            "left_ms" => self.left_ms(),
+        );
+        let log = &self.core.log;
+        let message = "no second send is left";
+        log.emit(LogEvent::RequestRefused, message, pairs);
+    }
+
     /// Logs the final answer.
     pub(crate) fn end(&self, status: StatusCode) {
         let pairs = slog::o!(
