Serve the four ports that answer at once through one function

The ports for readiness, entry answers, metrics and other gates each had a function of the same shape around serve_at_once. The daemon now calls that with what the port answers. No behaviour changes.

--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -16,7 +16,8 @@
 use crate::gates;
 use crate::learn::learn;
 use crate::listen::{
-    OpenCallers, serve_callers, serve_entries, serve_gates, serve_metrics, serve_ready,
+    OpenCallers, answer_gate, answer_metrics, answer_question, answer_ready, serve_at_once,
+    serve_callers,
 };
 use crate::news;
 use crate::ports::{EdgeWire, FleetStore, SettingsSource};
@@ -86,10 +87,25 @@
     let open = OpenCallers::default();
     let own = Rc::clone;
     actix_rt::spawn(serve_callers(own(&core), callers, open.clone(), stopped));
-    actix_rt::spawn(serve_ready(own(&core), ready, finished.clone()));
-    actix_rt::spawn(serve_entries(own(&core), entries, finished.clone()));
-    actix_rt::spawn(serve_gates(own(&core), configs, finished.clone()));
-    actix_rt::spawn(serve_metrics(own(&core), metrics, finished));
+    actix_rt::spawn(serve_at_once(
+        own(&core),
+        ready,
+        finished.clone(),
+        answer_ready,
+    ));
+    actix_rt::spawn(serve_at_once(
+        own(&core),
+        entries,
+        finished.clone(),
+        answer_question,
+    ));
+    actix_rt::spawn(serve_at_once(
+        own(&core),
+        configs,
+        finished.clone(),
+        answer_gate,
+    ));
+    actix_rt::spawn(serve_at_once(own(&core), metrics, finished, answer_metrics));
     actix_rt::spawn(news::spread(own(&core), Rc::clone(&socket)));
     actix_rt::spawn(learn(own(&core), Rc::clone(&socket)));
     actix_rt::spawn(gates::announce(own(&core), Rc::clone(&socket)));
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -74,77 +74,38 @@
     accept(listener, open, stop, log, handler).await;
 }
 
-/// Answers whether the gate is ready.
-pub(crate) async fn serve_ready<W, S>(
-    core: Rc<EdgeCore<W, S>>,
-    listener: TcpListener,
-    stop: watch::Receiver<bool>,
-) where
+/// Whether the gate is ready.
+pub(crate) fn answer_ready<W, S>(core: &EdgeCore<W, S>, request: &Request) -> Response<EdgeBody>
+where
     W: EdgeWire,
-    S: 'static,
 {
-    let answer = |core: &EdgeCore<W, S>, request: &Request| {
-        let status = if !core.wire.is_ready_call(request.uri()) {
-            StatusCode::NOT_FOUND
-        } else if core.is_ready() {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        };
-        Response::with_body(status, EdgeBody::whole(Bytes::new()))
+    let status = if !core.wire.is_ready_call(request.uri()) {
+        StatusCode::NOT_FOUND
+    } else if core.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
     };
-    serve_at_once(core, listener, stop, answer).await;
-}
-
-/// Answers questions for gates.
-pub(crate) async fn serve_entries<W, S>(
-    core: Rc<EdgeCore<W, S>>,
-    listener: TcpListener,
-    stop: watch::Receiver<bool>,
-) where
-    W: EdgeWire,
-    S: 'static,
-{
-    serve_at_once(core, listener, stop, answer_question).await;
+    Response::with_body(status, EdgeBody::whole(Bytes::new()))
 }
 
-/// Answers with the metrics as text.
-pub(crate) async fn serve_metrics<W, S>(
-    core: Rc<EdgeCore<W, S>>,
-    listener: TcpListener,
-    stop: watch::Receiver<bool>,
-) where
-    W: EdgeWire,
-    S: 'static,
-{
-    let answer = |core: &EdgeCore<W, S>, request: &Request| {
-        let text = match request.path() {
-            METRICS_PATH => core.metrics.render().ok(),
-            _ => None,
-        };
-        found_or(StatusCode::NOT_FOUND, text.map(Bytes::from))
+/// The metrics as text.
+pub(crate) fn answer_metrics<W, S>(core: &EdgeCore<W, S>, request: &Request) -> Response<EdgeBody> {
+    let text = match request.path() {
+        METRICS_PATH => core.metrics.render().ok(),
+        _ => None,
     };
-    serve_at_once(core, listener, stop, answer).await;
+    found_or(StatusCode::NOT_FOUND, text.map(Bytes::from))
 }
 
-/// Answers other gates that want the configuration in force or the list of servers.
-pub(crate) async fn serve_gates<W, S>(
-    core: Rc<EdgeCore<W, S>>,
-    listener: TcpListener,
-    stop: watch::Receiver<bool>,
-) where
-    W: EdgeWire,
-    S: 'static,
-{
-    let answer = |core: &EdgeCore<W, S>, request: &Request| {
-        let known = match request.path() {
-            CONFIG_PATH => core.configs.bytes(),
-            SERVERS_PATH => core.tell_servers(),
-            _ => return found_or(StatusCode::NOT_FOUND, None),
-        };
-        found_or(StatusCode::SERVICE_UNAVAILABLE, known)
+/// The configuration in force or the list of servers, for other gates.
+pub(crate) fn answer_gate<W, S>(core: &EdgeCore<W, S>, request: &Request) -> Response<EdgeBody> {
+    let known = match request.path() {
+        CONFIG_PATH => core.configs.bytes(),
+        SERVERS_PATH => core.tell_servers(),
+        _ => return found_or(StatusCode::NOT_FOUND, None),
     };
-    serve_at_once(core, listener, stop, answer).await;
+    found_or(StatusCode::SERVICE_UNAVAILABLE, known)
 }
 
 /// The answer with these bytes, or an empty one with `status` if there are none.
@@ -158,7 +119,7 @@
 }
 
 /// Serves requests whose answers are known at once.
-async fn serve_at_once<W, S, A>(
+pub(crate) async fn serve_at_once<W, S, A>(
     core: Rc<EdgeCore<W, S>>,
     listener: TcpListener,
     stop: watch::Receiver<bool>,
@@ -174,7 +135,7 @@
 }
 
 /// The answer to a question for gates.
-fn answer_question<W, S>(core: &EdgeCore<W, S>, request: &Request) -> Response<EdgeBody>
+pub(crate) fn answer_question<W, S>(core: &EdgeCore<W, S>, request: &Request) -> Response<EdgeBody>
 where
     W: EdgeWire,
 {
