--- a/crates/standin/src/address.rs
+++ b/crates/standin/src/address.rs
@@ -1,6 +1,6 @@
 //! Addresses for programs that are started with a port to bind.
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU32, Ordering};
 
 /// First port that is given out.
@@ -15,7 +15,8 @@
 /// A loopback address that was free a moment ago and that no other call here returns soon.
 ///
 /// A port that the system chooses would not do: between this call and the start of the program that
-/// binds it, an outgoing connection of another program can take it.
+/// binds it, an outgoing connection of another program can take it. Nor does it do to listen on the
+/// port to try it: a program that starts meanwhile inherits the socket and holds it until it runs.
 ///
 /// ```
 /// let (one, other) = (ggs_standin::free_address(), ggs_standin::free_address());
@@ -28,7 +29,7 @@
         let start = std::process::id().wrapping_mul(PROCESS_STRIDE);
         let port = FIRST_PORT + start.wrapping_add(number) % PORT_COUNT;
         let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+        if TcpStream::connect(address).is_err() {
             return address;
         }
     }
