Read all configurations again when the store comes back from a copy

What callers saw: after a drill in which the store came back from a copy, requests were handled by an older configuration for good, although a newer one had been acknowledged.

Cause: a position in a feed was a version alone. A restored store gives out the versions of its lost changes again, so a gate that continued from its old position got the changes after it and never saw the configuration that was written below it. Class: a cursor used beyond the numbering it belongs to.

The first answer or datagram of a later era makes the gate drop its cursor and end a wait at the store, which would otherwise wait for changes after the old version. Cursors of servers that gates send each other are compared by era first, so changes of a restored store are not taken for older ones.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -266,8 +266,8 @@
         self.probes.borrow_mut().set_rate(rate);
     }
 
-    /// Records the era of the store in an answer or a datagram, and logs it if the store was
-    /// restored from a copy since the last one.
+    /// Records the era of the store in an answer or a datagram. If the store was restored from a copy
+    /// since the last one, logs it and makes the next read of configurations return all rows.
     pub(crate) fn note_store_era(&self, era: u64) {
         let known = self.store_era.get();
         if known.is_some_and(|known| known >= era) {
@@ -278,6 +278,7 @@
             let pairs = slog::o!("era" => era, "before" => before);
             let message = "store was restored from a copy; its newest changes are lost";
             self.log.emit(LogEvent::StoreRestored, message, pairs);
+            self.config_feed.restart();
         }
     }
 
--- a/crates/edge/src/feeds.rs
+++ b/crates/edge/src/feeds.rs
@@ -59,6 +59,12 @@
         }
     }
 
+    /// Drops the cursor, and wakes the task that may wait at the store for changes after it.
+    pub(crate) fn restart(&self) {
+        self.cursor.set(None);
+        self.wakeup.notify_one();
+    }
+
     /// Makes this gate read the store itself, as it cannot rely on another gate to tell it of
     /// changes in time.
     pub(crate) fn request_read(&self) {
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -105,7 +105,7 @@
         let Some(own_cursor) = self.server_feed.cursor.get() else {
             return;
         };
-        if own_cursor.version > body.cursor().version {
+        if own_cursor > body.cursor() {
             return;
         }
         let page = FeedPage {
