Bound the age of the configuration at each gate

What callers saw: requests handled by an older configuration long after a newer one had been acknowledged, while the gates followed the store's list of servers without a fault.

Cause: the freshness of configurations was inferred from that of the servers. The other gates read configurations when their list of servers got stale, once per occasion, so a read that was answered with 410 or failed was spent. Class: the health of one feed judged by another one.

Change: each gate knows when its configuration was last confirmed as the newest. A long poll waits for 60% of the time in which a configuration must be in force and confirms the version when it ends; the age of the confirmation goes with heartbeats, announcements and what gates fetch from each other. At 80% a gate reads the store itself, staggered by rank, so that the first one confirms for the others; a long poll without an answer by then is given up. A lost history makes the next read immediate. While reads of the servers fail, four gates of a data centre go on. The list of servers causes no reads of configurations any more.

Evidence: a_configuration_is_in_force_in_time_after_the_store_lost_an_open_call and a_read_that_meets_a_dropped_history_is_repeated_at_once failed before and pass now.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -3,15 +3,20 @@
 //! One gate of a data centre long-polls the store for configurations, and the others fetch them
 //! from it, because each call to the store costs money. A configuration that cannot be read, or
 //! that is not newer than the one in force, is ignored.
+//!
+//! Each gate knows when its configuration was last confirmed as the newest, and the gates pass that
+//! on with every datagram. A gate that is not told in time reads the store itself, whatever the
+//! cause: a reader that has stopped, a long poll that the store has lost, datagrams that are
+//! dropped.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::header::{HOST, HeaderValue};
+use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{RequestHead, StatusCode, Uri};
 use bytes::Bytes;
-use ggs_model::Clock;
+use ggs_model::{Clock, Moment};
 use ggs_observe::LogEvent;
 use ggs_relay::{FailureKind, ServerConnection};
 use ggs_route::{RouteConfig, RouteTable};
@@ -25,8 +30,27 @@
 use crate::ports::{EdgeWire, FeedPage, FeedValue, FleetError, FleetStore, SettingsSource};
 use crate::store_health::StoreHealth;
 
-/// Longest time that a long poll waits at the store for the next configuration.
-const CONFIG_POLL_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time that a long poll waits at the store for the next configuration, in percent of
+/// [`EdgeBounds::config_apply`](crate::EdgeBounds::config_apply). Each answer confirms the
+/// configuration in force.
+const POLL_PERCENT: u32 = 60;
+
+/// Age of the last confirmation at which a gate reads the store itself, and time limit of a long
+/// poll, in percent of the same time. The rest is for that read and its retry.
+const OVERDUE_PERCENT: u32 = 80;
+
+/// Time between the reads of two gates whose confirmations get too old at the same time. The first
+/// one to succeed confirms the configuration to the others.
+const OVERDUE_STAGGER: Duration = Duration::from_millis(10);
+
+/// Longest delay of an overdue read by [`OVERDUE_STAGGER`], in percent of the same time.
+const MAX_STAGGER_PERCENT: u32 = 10;
+
+/// Number of gates in a data centre whose overdue reads go on while reads of the servers fail.
+const FAILING_READER_COUNT: usize = 4;
+
+/// Time that a long poll waits at the store while there is no configuration yet.
+const FIRST_CONFIG_POLL: Duration = Duration::from_secs(5);
 
 /// Pause between reads while there is no configuration yet.
 const FIRST_CONFIG_PAUSE: Duration = Duration::from_millis(100);
@@ -43,12 +67,75 @@
 /// Path at which a gate serves its configuration to other gates.
 pub(crate) const CONFIG_PATH: &str = "/config";
 
+/// Header in answers to other gates: milliseconds since the sender last knew its configuration to be
+/// the newest.
+pub(crate) const CONFIG_AGE_HEADER: HeaderName = HeaderName::from_static("ggs-config-age-ms");
+
 /// Time between two reads of the settings.
 const SETTINGS_POLL_PERIOD: Duration = Duration::from_secs(3);
 
+/// How a gate reads configurations from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConfigRead {
+    /// As the reader of the data centre, or as no configuration is known yet: the store answers
+    /// after this time at the latest.
+    LongPoll(Duration),
+    /// Because it was requested or is overdue: the store answers at once.
+    Immediate,
+}
+
+impl ConfigRead {
+    /// Time for which the store may hold the call.
+    fn wait(self) -> Duration {
+        match self {
+            Self::LongPoll(wait) => wait,
+            Self::Immediate => Duration::ZERO,
+        }
+    }
+}
+
+impl<W, S> EdgeCore<W, S> {
+    /// Milliseconds since the configuration in force was last known to be the newest.
+    pub(crate) fn config_age_ms(&self) -> u64 {
+        let age = self.clock.now().since(self.config_feed.confirmed_at.get());
+        age.as_millis() as u64
+    }
+
+    /// When the configuration in force has not been confirmed for too long.
+    fn config_overdue_at(&self) -> Moment {
+        let limit = self.settings().bounds.config_apply;
+        self.config_feed.confirmed_at.get() + limit * OVERDUE_PERCENT / 100
+    }
+
+    /// When this gate has to read configurations itself, unless another gate has done it by then.
+    fn config_due(&self) -> Moment {
+        let limit = self.settings().bounds.config_apply;
+        let stagger = OVERDUE_STAGGER * self.near_rank() as u32;
+        self.config_overdue_at() + stagger.min(limit * MAX_STAGGER_PERCENT / 100)
+    }
+
+    /// How this gate has to read configurations now; `None` if another gate does it.
+    fn config_read(&self, now: Moment) -> Option<ConfigRead> {
+        if self.config_feed.read_requested.get() {
+            return Some(ConfigRead::Immediate);
+        }
+        if self.routes().is_none() {
+            let defers = now < self.server_feed.defer_until.get();
+            return (!defers).then_some(ConfigRead::LongPoll(FIRST_CONFIG_POLL));
+        }
+        if self.is_reader(now) {
+            let wait = self.settings().bounds.config_apply * POLL_PERCENT / 100;
+            return Some(ConfigRead::LongPoll(wait));
+        }
+        let may_read =
+            !self.server_feed.reads_failing.get() || self.near_rank() < FAILING_READER_COUNT;
+        (may_read && now >= self.config_due()).then_some(ConfigRead::Immediate)
+    }
+}
+
 /// Follows configurations until the process ends. The reader of a data centre long-polls the store,
-/// and the other gates fetch from a gate that announces a newer version. A gate that gets nothing
-/// from its reader in time reads the store itself.
+/// and the other gates fetch from a gate that announces a newer version. A gate whose configuration
+/// is not confirmed in time reads the store itself.
 pub(crate) async fn follow_configs<W, S>(core: Rc<EdgeCore<W, S>>, socket: Rc<UdpSocket>)
 where
     W: EdgeWire,
@@ -61,44 +148,52 @@
         {
             continue;
         }
-        let now = core.clock.now();
-        let known = core.routes().is_some();
-        let awaits_first = !known && now >= core.server_feed.defer_until.get();
-        let long_polls = awaits_first || core.is_reader(now);
-        if !long_polls && !core.config_feed.read_requested.take() {
+        let started = core.clock.now();
+        let Some(kind) = core.config_read(started) else {
+            let due = core.config_due();
+            let pause = if due > started {
+                due.since(started).min(READER_CHECK_PERIOD)
+            } else {
+                READER_CHECK_PERIOD
+            };
             // Whether woken or timed out, the loop checks again.
-            let _woken = timeout(READER_CHECK_PERIOD, core.config_feed.wakeup.notified()).await;
+            let _woken = timeout(pause, core.config_feed.wakeup.notified()).await;
             continue;
-        }
-        let cursor = core.config_feed.cursor.get();
-        let wait = if long_polls {
-            CONFIG_POLL_TIMEOUT
-        } else {
-            Duration::ZERO
         };
-        let read = tokio::select! {
-            read = core.store.read_configs(cursor, wait) => read,
-            // The store may have lost track of a long poll, so a wakeup starts a new read.
-            () = core.config_feed.wakeup.notified(), if long_polls => continue,
+        let read = match kind {
+            ConfigRead::Immediate => read_at_once(&core).await,
+            ConfigRead::LongPoll(wait) => {
+                let Some(read) = long_poll(&core, wait).await else {
+                    continue;
+                };
+                read
+            }
         };
         match read {
             Ok(page) => {
                 health.record_success();
                 core.note_store_era(page.cursor.era);
                 core.config_feed.cursor.set(Some(page.cursor));
-                let before = core.config_feed.version();
+                // The store has held a page without changes for the whole wait.
+                let now = core.clock.now();
+                let unchanged_at = (started + kind.wait()).min(now);
+                let confirmed_at = if page.changes.is_empty() {
+                    unchanged_at
+                } else {
+                    now
+                };
                 apply_configs(&core, page);
-                core.config_feed.confirmed_at.set(core.clock.now());
+                core.config_feed.confirm(confirmed_at);
                 if core.routes().is_none() {
                     sleep(FIRST_CONFIG_PAUSE).await;
-                }
-                if core.config_feed.version() > before {
+                } else {
                     announce_version(&core, &socket).await;
                 }
             }
             Err(FleetError::HistoryLost) => {
                 health.record_history_lost();
                 core.config_feed.cursor.set(None);
+                core.config_feed.read_requested.set(true);
             }
             Err(error) => {
                 core.metrics.count_store_failure();
@@ -110,10 +205,48 @@
     }
 }
 
+/// Reads the configurations that are new in the store.
+async fn read_at_once<W, S>(core: &EdgeCore<W, S>) -> Result<FeedPage<Bytes>, FleetError>
+where
+    S: FleetStore,
+{
+    core.config_feed.read_requested.set(false);
+    if core.config_feed.version() > 0 && core.clock.now() >= core.config_overdue_at() {
+        let pairs = slog::o!("unconfirmed_ms" => core.config_age_ms());
+        let message = "configuration was not confirmed in time; reading the store";
+        core.log.emit(LogEvent::ConfigUnconfirmed, message, pairs);
+    }
+    let cursor = core.config_feed.cursor.get();
+    core.store.read_configs(cursor, Duration::ZERO).await
+}
+
+/// Waits at the store for configurations. Returns `None` if the gate has to look for something else
+/// first: another gate may have a newer one, or the store has not answered in time, as it may have
+/// lost the call; then the next read is immediate.
+async fn long_poll<W, S>(
+    core: &EdgeCore<W, S>,
+    wait: Duration,
+) -> Option<Result<FeedPage<Bytes>, FleetError>>
+where
+    S: FleetStore,
+{
+    let margin = core.settings().bounds.config_apply * (OVERDUE_PERCENT - POLL_PERCENT) / 100;
+    let cursor = core.config_feed.cursor.get();
+    tokio::select! {
+        read = core.store.read_configs(cursor, wait) => Some(read),
+        () = core.config_feed.wakeup.notified() => None,
+        () = sleep(wait + margin) => {
+            core.config_feed.read_requested.set(true);
+            None
+        }
+    }
+}
+
 /// Announces the version in force here to the gates of the data centre.
 async fn announce_version<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) {
     let datagram = Datagram {
         config_version: core.config_feed.version(),
+        config_age_ms: Some(core.config_age_ms()),
         reads_store: core.reads_store(),
         ..Datagram::default()
     };
@@ -126,8 +259,8 @@
 where
     W: EdgeWire,
 {
-    let bytes = match fetch(core, address, CONFIG_PATH).await {
-        Ok(bytes) => bytes,
+    let answer = match fetch(core, address, CONFIG_PATH).await {
+        Ok(answer) => answer,
         Err(cause) => {
             let pairs = slog::o!("gate" => address.to_string(), "cause" => cause.to_string());
             let message = "cannot fetch the configuration from a gate; reading the store instead";
@@ -136,17 +269,37 @@
             return false;
         }
     };
-    apply_config(core, bytes);
+    apply_peer_config(core, answer);
     true
 }
 
+/// Puts the configuration of another gate in force if it is newer, and takes over when it was
+/// confirmed.
+pub(crate) fn apply_peer_config<W, S>(core: &EdgeCore<W, S>, answer: PeerAnswer)
+where
+    W: EdgeWire,
+{
+    let version = apply_config(core, answer.bytes);
+    if version.is_some_and(|version| version == core.config_feed.version()) {
+        core.config_feed.confirm(answer.config_confirmed_at);
+    }
+}
+
+/// An answer of another gate.
+#[derive(Debug)]
+pub(crate) struct PeerAnswer {
+    pub(crate) bytes: Bytes,
+    /// When the other gate last knew its configuration to be the newest.
+    config_confirmed_at: Moment,
+}
+
 /// Fetches the configuration or the list of servers from another gate, within
 /// [`PEER_FETCH_TIMEOUT`].
 pub(crate) async fn fetch<W, S>(
     core: &EdgeCore<W, S>,
     address: SocketAddr,
     path: &'static str,
-) -> Result<Bytes, FailureKind> {
+) -> Result<PeerAnswer, FailureKind> {
     let fetched = timeout(PEER_FETCH_TIMEOUT, fetch_unbounded(core, address, path)).await;
     fetched.unwrap_or(Err(FailureKind::AnswerTimeout))
 }
@@ -156,7 +309,7 @@
     core: &EdgeCore<W, S>,
     address: SocketAddr,
     path: &'static str,
-) -> Result<Bytes, FailureKind> {
+) -> Result<PeerAnswer, FailureKind> {
     let options = core.pool.options();
     let connection = ServerConnection::open(address, options, &core.codec).await;
     let mut connection = connection.map_err(|_| FailureKind::ConnectFailed)?;
@@ -171,7 +324,20 @@
     if head.status != StatusCode::OK {
         return Err(FailureKind::Refused);
     }
-    connection.read_whole_body(MAX_FETCHED_BYTES).await
+    let age = parse_config_age(&head.headers);
+    let config_confirmed_at = age.map_or(Moment::ZERO, |age| core.clock.now() - age);
+    let bytes = connection.read_whole_body(MAX_FETCHED_BYTES).await?;
+    Ok(PeerAnswer {
+        bytes,
+        config_confirmed_at,
+    })
+}
+
+/// Reads the age of the configuration of another gate; `None` if the gate does not state it.
+fn parse_config_age(headers: &HeaderMap) -> Option<Duration> {
+    let age = headers.get(CONFIG_AGE_HEADER)?;
+    let age_ms = age.to_str().ok()?.parse().ok()?;
+    Some(Duration::from_millis(age_ms))
 }
 
 /// Applies the configurations of a page in order.
@@ -181,27 +347,36 @@
 {
     for change in page.changes {
         match change.value {
-            FeedValue::Present(bytes) => apply_config(core, bytes),
+            FeedValue::Present(bytes) => {
+                // An unreadable one has been logged; the one in force is kept.
+                let _version = apply_config(core, bytes);
+            }
             FeedValue::Removed => report_unreadable(core, "the row was removed"),
             FeedValue::Unreadable(cause) => report_unreadable(core, &cause),
         }
     }
 }
 
-/// Puts a configuration in force if it can be read and is newer than the one in force.
-pub(crate) fn apply_config<W, S>(core: &EdgeCore<W, S>, bytes: Bytes)
+/// Puts a configuration in force if it can be read and is newer than the one in force. Returns its
+/// version; `None` if it cannot be read.
+fn apply_config<W, S>(core: &EdgeCore<W, S>, bytes: Bytes) -> Option<u64>
 where
     W: EdgeWire,
 {
     match core.wire.read_config(&bytes) {
-        Ok(config) if config.version > core.config_feed.version() => {
+        Ok(config) => {
             let version = config.version;
-            put_in_force(core, config);
-            *core.config_feed.text.borrow_mut() = Some(ConfigText { version, bytes });
+            // An older configuration never replaces a newer one.
+            if version > core.config_feed.version() {
+                put_in_force(core, config);
+                *core.config_feed.text.borrow_mut() = Some(ConfigText { version, bytes });
+            }
+            Some(version)
+        }
+        Err(cause) => {
+            report_unreadable(core, &cause);
+            None
         }
-        // An older configuration never replaces a newer one.
-        Ok(_) => {}
-        Err(cause) => report_unreadable(core, &cause),
     }
 }
 
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -184,6 +184,13 @@
         self.contacts.borrow().fleet_size().max(1)
     }
 
+    /// Number of known gates in the data centre whose addresses sort before this one's.
+    pub(crate) fn near_rank(&self) -> usize {
+        let settings = self.settings();
+        let contacts = self.contacts.borrow();
+        contacts.rank_of(settings.listen_gates, &settings.data_centre)
+    }
+
     /// Number of live gates in the data centre; at least one.
     pub(crate) fn near_gate_count(&self) -> u32 {
         let settings = self.settings();
--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -28,6 +28,10 @@
     /// does not state it.
     #[prost(uint64, tag = "6")]
     pub(crate) config_version: u64,
+    /// Milliseconds since the sender last knew that version to be the newest; absent if the datagram
+    /// does not state it.
+    #[prost(uint64, optional, tag = "7")]
+    pub(crate) config_age_ms: Option<u64>,
     /// Load reports and sends since the last update.
     #[prost(message, optional, tag = "3")]
     pub(crate) load_update: Option<LoadUpdateBody>,
--- a/crates/edge/src/feeds.rs
+++ b/crates/edge/src/feeds.rs
@@ -32,7 +32,8 @@
     pub(crate) text: RefCell<Option<ConfigText>>,
     /// Address of a gate that has a newer configuration in force.
     pub(crate) newer_peer: Cell<Option<SocketAddr>>,
-    /// Whether this gate has to read the store, even if another gate reads for the data centre.
+    /// Whether this gate has to read the store at once, even if another gate reads for the data
+    /// centre.
     pub(crate) read_requested: Cell<bool>,
     /// Wakes the task that follows the feed.
     pub(crate) wakeup: Notify,
@@ -51,22 +52,36 @@
         text.as_ref().map(|text| text.bytes.clone())
     }
 
-    /// Remembers the gate at `address` if its `version` is newer than the one in force here.
-    pub(crate) fn note_peer_version(&self, version: u64, address: SocketAddr) {
+    /// Remembers the gate at `address` if its `version` is newer than the one in force here. If it is
+    /// the same, this gate knows it to be the newest as of `confirmed_at`.
+    pub(crate) fn note_peer_version(
+        &self,
+        version: u64,
+        confirmed_at: Option<Moment>,
+        address: SocketAddr,
+    ) {
         if version > self.version() {
             self.newer_peer.set(Some(address));
             self.wakeup.notify_one();
+        } else if let Some(at) = confirmed_at
+            && version == self.version()
+        {
+            self.confirm(at);
         }
     }
 
+    /// Records that the version in force here was the newest at `at`.
+    pub(crate) fn confirm(&self, at: Moment) {
+        self.confirmed_at.set(self.confirmed_at.get().max(at));
+    }
+
     /// Drops the cursor, and wakes the task that may wait at the store for changes after it.
     pub(crate) fn restart(&self) {
         self.cursor.set(None);
         self.wakeup.notify_one();
     }
 
-    /// Makes this gate read the store itself, as it cannot rely on another gate to tell it of
-    /// changes in time.
+    /// Makes this gate read the store itself at once.
     pub(crate) fn request_read(&self) {
         self.read_requested.set(true);
         self.wakeup.notify_one();
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -162,6 +162,7 @@
         peer: Some(encode_message(message)),
         reads_store: core.reads_store(),
         config_version: core.config_feed.version(),
+        config_age_ms: Some(core.config_age_ms()),
         capacity: core.settings().capacity(),
         ..Datagram::default()
     }
@@ -226,8 +227,10 @@
         let message = decode_message(peer).map_err(|error| error.to_string())?;
         handle_message(core, message, datagram.capacity);
     }
+    let config_age = datagram.config_age_ms.map(Duration::from_millis);
+    let confirmed_at = config_age.map(|age| core.clock.now() - age);
     core.config_feed
-        .note_peer_version(datagram.config_version, sender);
+        .note_peer_version(datagram.config_version, confirmed_at, sender);
     let mut contacts = core.contacts.borrow_mut();
     contacts.set_reads_store(sender, datagram.reads_store);
     Ok(())
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -19,7 +19,7 @@
 use tokio::sync::watch;
 
 use crate::body::EdgeBody;
-use crate::config::CONFIG_PATH;
+use crate::config::{CONFIG_AGE_HEADER, CONFIG_PATH};
 use crate::core::EdgeCore;
 use crate::entries::entry_answer;
 use crate::ports::EdgeWire;
@@ -111,7 +111,10 @@
         SERVERS_PATH => core.encode_server_list(),
         _ => return body_or_status(StatusCode::NOT_FOUND, None),
     };
-    body_or_status(StatusCode::SERVICE_UNAVAILABLE, bytes)
+    let mut answer = body_or_status(StatusCode::SERVICE_UNAVAILABLE, bytes);
+    let age = core.config_age_ms().into();
+    answer.headers_mut().insert(CONFIG_AGE_HEADER, age);
+    answer
 }
 
 /// A 200 answer with these bytes, or an empty one with `status` if there are none.
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -230,7 +230,7 @@
             Ok(page) => {
                 health.record_success();
                 if core.server_feed.reads_failing.replace(false) {
-                    core.config_feed.request_read();
+                    core.config_feed.wakeup.notify_one();
                 }
                 apply_and_share(&core, &socket, page).await;
                 wait_until_read_due(&core).await;
@@ -241,10 +241,7 @@
             }
             Err(error) => {
                 core.metrics.count_store_failure();
-                if core.server_feed.reads_failing.replace(true) {
-                    // The part of the store that holds configurations may still answer.
-                    core.config_feed.request_read();
-                }
+                core.server_feed.reads_failing.set(true);
                 let pause = health.record_failure(&error, core.near_gate_count());
                 let woken = timeout(pause, core.server_feed.wakeup.notified()).await;
                 // A wakeup means that another gate sent changes, so the list may be fresh again.
@@ -283,6 +280,7 @@
         let datagram = Datagram {
             servers: Some(part),
             config_version: core.config_feed.version(),
+            config_age_ms: Some(core.config_age_ms()),
             reads_store: true,
             ..Datagram::default()
         };
@@ -302,10 +300,6 @@
         };
         let pause = due.since(now);
         if pause.is_zero() || core.server_feed.diverged.get() {
-            if !core.is_reader(now) {
-                // What the reader sends has not arrived, so a new configuration may be missing too.
-                core.config_feed.request_read();
-            }
             // A list whose digest keeps differing must not cause reads without a pause.
             tokio::time::sleep(MIN_READ_PAUSE).await;
             return;
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -13,6 +13,8 @@
 pub struct EdgeBounds {
     /// Time after a server starts to leave by which it must get no new requests.
     pub server_drain: Duration,
+    /// Time after a configuration was accepted by which it must be in force at each gate.
+    pub config_apply: Duration,
     /// Time between the signal to stop and the kill.
     pub stop_grace: Duration,
     /// Retries that are allowed per request, on average.
--- a/crates/edge/src/startup.rs
+++ b/crates/edge/src/startup.rs
@@ -14,7 +14,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
-use crate::config::{CONFIG_PATH, apply_config, fetch, follow_configs};
+use crate::config::{CONFIG_PATH, apply_peer_config, fetch, follow_configs};
 use crate::core::EdgeCore;
 use crate::gates::{follow_store, send_heartbeat};
 use crate::ports::{EdgeWire, FleetStore};
@@ -72,11 +72,7 @@
     W: EdgeWire,
 {
     let settings = core.settings();
-    let rank = {
-        let contacts = core.contacts.borrow();
-        contacts.rank_of(settings.listen_gates, &settings.data_centre)
-    };
-    if rank < START_READER_COUNT {
+    if core.near_rank() < START_READER_COUNT {
         return;
     }
     let defer_until = core.clock.now() + DEFER_TIME;
@@ -102,12 +98,12 @@
     let Ok(list) = fetch(core, peer, SERVERS_PATH).await else {
         return false;
     };
-    if !core.apply_server_list(&list) {
+    if !core.apply_server_list(&list.bytes) {
         return false;
     }
     // The list of servers is enough: the gate may not have a configuration yet.
-    if let Ok(bytes) = fetch(core, peer, CONFIG_PATH).await {
-        apply_config(core, bytes);
+    if let Ok(answer) = fetch(core, peer, CONFIG_PATH).await {
+        apply_peer_config(core, answer);
     }
     true
 }
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -49,6 +49,9 @@
     ConfigInForce = 204,
     /// A configuration could not be read; the one in force remains in use.
     ConfigUnreadable = 205,
+    /// The configuration in force may be out of date: neither the platform's store nor another gate
+    /// has confirmed it in time. The gate reads the store itself.
+    ConfigUnconfirmed = 206,
     /// A platform call failed.
     PlatformFailed = 300,
     /// Platform calls succeed again.
@@ -132,6 +135,7 @@
             | Self::SettingsReloaded
             | Self::DocumentInForce
             | Self::ConfigInForce
+            | Self::ConfigUnconfirmed
             | Self::ServerListed
             | Self::ServerDropped
             | Self::RequestEnded
