Keep servers that a restored store lacks while they can register again

Change: a read of a later era starts the grace period that an outage starts.

Evidence: a_server_missing_from_a_restored_store_is_kept_while_it_can_register_again failed before ("dropped at once") and passes now.

--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -2,8 +2,8 @@
 //!
 //! A server renews its row with heartbeats, and the store drops a row whose server sends none.
 //! During an outage of the store no row can be renewed, so live servers lose theirs too. Rows that
-//! are found missing after an outage are therefore kept for a grace period, in which live servers
-//! write theirs again.
+//! are found missing after an outage, or after a restore of the store from a copy, are therefore kept
+//! for a grace period, in which live servers write theirs again.
 
 use std::hash::BuildHasher;
 use std::sync::Arc;
@@ -61,7 +61,9 @@
     unreadable: HashMap<Arc<str>, String>,
     heartbeat: Duration,
     last_read_at: Option<Moment>,
-    /// Until when rows that go missing are kept, as the store may have dropped them in an outage.
+    /// Era of the store at the last read.
+    era: u64,
+    /// Until when rows that go missing are kept, as the store may have dropped or lost them.
     grace_until: Moment,
 }
 
@@ -73,6 +75,7 @@
             unreadable: HashMap::new(),
             heartbeat,
             last_read_at: None,
+            era: 0,
             grace_until: Moment::ZERO,
         }
     }
@@ -82,13 +85,15 @@
         // A live server loses its row only if it cannot renew it for a whole lease. Its last
         // heartbeat may have been one heartbeat period before the last read.
         let lease = self.heartbeat * LEASE_HEARTBEAT_COUNT;
-        if self
+        let outage = self
             .last_read_at
-            .is_some_and(|at| now.since(at) + self.heartbeat > lease)
-        {
+            .is_some_and(|at| now.since(at) + self.heartbeat > lease);
+        let restored = self.last_read_at.is_some() && page.cursor.era > self.era;
+        if outage || restored {
             self.grace_until = now + RETURN_GRACE;
         }
         self.last_read_at = Some(now);
+        self.era = self.era.max(page.cursor.era);
         let mut diff = CatalogDiff::default();
         if page.whole {
             self.drop_missing(&page, now, &mut diff);
--- a/crates/edge/tests/catalog.rs
+++ b/crates/edge/tests/catalog.rs
@@ -183,3 +183,35 @@
         );
     }
 }
+
+/// A page of the store in an era that lists one server or none.
+fn page_of_era(era: u64, value: Option<FeedValue<ServerRecord>>) -> FeedPage<ServerRecord> {
+    let key: Arc<str> = Arc::from("i-1");
+    FeedPage {
+        whole: true,
+        changes: value
+            .map(|value| FeedChange { key, value })
+            .into_iter()
+            .collect(),
+        cursor: FeedCursor { era, version: 1 },
+    }
+}
+
+#[test]
+fn a_server_missing_from_a_restored_store_is_kept_while_it_can_register_again() {
+    // The time at which the server's row is back, and whether it is usable at the end.
+    let cases = [(Some(1_500), true), (None, false)];
+    for (back_at_ms, usable) in cases {
+        let mut catalog = ServerCatalog::new(HEARTBEAT);
+        let at = Moment::from_millis;
+        catalog.apply(page_of_era(0, Some(row(1, false))), at(0));
+        catalog.apply(page_of_era(1, None), at(500));
+        assert!(catalog.usable().next().is_some(), "dropped at once");
+        if let Some(back_at_ms) = back_at_ms {
+            catalog.apply(page_of_era(1, Some(row(1, false))), at(back_at_ms));
+        }
+        let mut diff = CatalogDiff::default();
+        catalog.expire(at(SYNC_TIME_MS), &mut diff);
+        assert_eq!(catalog.usable().next().is_some(), usable, "{back_at_ms:?}");
+    }
+}
