Register a gate again when the store comes back from a copy

What callers would see: after a restore, a gate that had registered since the copy was missing in the store for up to three minutes; gates that started in that time did not name it to callers and sent it no heartbeat.

Cause: what the system wrote since the copy is gone, and a gate looks for its row only at its periodic reads.

Change: the first answer or datagram of a later era makes a gate read the gates, and write its row if it is missing, at a random time within 20 ms for each gate of the fleet (2.6 s at 129 gates).

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -18,6 +18,7 @@
 use ggs_place::{ListedServer, ProbeBucket, ServerKey};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_route::RouteTable;
+use tokio::sync::Notify;
 
 use crate::catalog::ServerCatalog;
 use crate::contacts::{GATE_LEASE, GateContacts};
@@ -95,6 +96,8 @@
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
     /// Servers by their instance identifier.
     instances: RefCell<HashMap<Arc<str>, ServerLocation>>,
+    /// Wakes the task that keeps this gate registered when the store was restored from a copy.
+    pub(crate) store_restored: Notify,
     /// The newest known era of the store; `None` until the first read.
     store_era: Cell<Option<u64>>,
     servers_known: Cell<bool>,
@@ -142,6 +145,7 @@
             server_feed: ServerFeed::default(),
             services: RefCell::new(HashMap::new()),
             instances: RefCell::new(HashMap::new()),
+            store_restored: Notify::new(),
             store_era: Cell::new(None),
             servers_known: Cell::new(false),
             draining: Cell::new(false),
@@ -274,7 +278,8 @@
     }
 
     /// Records the era of the store in an answer or a datagram. If the store was restored from a copy
-    /// since the last one, logs it and makes the next read of configurations return all rows.
+    /// since the last one, logs it, makes the next read of configurations return all rows, and has
+    /// this gate registered again.
     pub(crate) fn note_store_era(&self, era: u64) {
         let known = self.store_era.get();
         if known.is_some_and(|known| known >= era) {
@@ -286,6 +291,7 @@
             let message = "store was restored from a copy; its newest changes are lost";
             self.log.emit(LogEvent::StoreRestored, message, pairs);
             self.config_feed.restart();
+            self.store_restored.notify_one();
         }
     }
 
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -14,7 +14,7 @@
 use ggs_peer::{PROTOCOL_VERSION, PeerHello, PeerMessage, decode_message, encode_message};
 use prost::Message;
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use crate::core::EdgeCore;
 use crate::datagrams::Datagram;
@@ -39,6 +39,10 @@
 /// Longest mean time between two reads of the gates in the store.
 const MAX_STORE_READ_PERIOD: Duration = Duration::from_mins(3);
 
+/// Time over which the gates register again after a restore of the store, for each gate of the
+/// fleet, so that they do not all call the store at the same time.
+const RESTORE_SPREAD_PER_GATE: Duration = Duration::from_millis(20);
+
 /// Size of the receive buffer; longer datagrams are truncated.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -77,8 +81,8 @@
     }
 }
 
-/// Keeps this gate registered in the store and reads the others periodically, until the process
-/// ends.
+/// Keeps this gate registered in the store and reads the others periodically, and after a restore of
+/// the store, until the process ends.
 pub(crate) async fn follow_store<W, S>(core: Rc<EdgeCore<W, S>>)
 where
     W: EdgeWire,
@@ -95,7 +99,11 @@
         health.record_success();
         let period = store_read_period(core.fleet_size());
         // Random jitter, so that gates do not read at the same time.
-        sleep(period.mul_f64(rand::random_range(0.8..1.2))).await;
+        let pause = period.mul_f64(rand::random_range(0.8..1.2));
+        if timeout(pause, core.store_restored.notified()).await.is_ok() {
+            let spread = RESTORE_SPREAD_PER_GATE * core.fleet_size() as u32;
+            sleep(spread.mul_f64(rand::random())).await;
+        }
     }
 }
 
