Read large configurations from the store instead of another gate

Cause: all gates of a data centre fetch a new configuration from one gate at the same time. With 1,400 more routes it has 290 KB; 47 fetches need 11 s on the link of 10 Mbit/s, and the time limit is 300 ms. All fail, each datagram that announces the version causes another fetch, and what was sent in vain fills the links, also for callers. Class: many readers of one small host, with a time limit that does not depend on the size.

Change: a datagram states the length of the configuration, and a gate reads one of more than 8 KiB from the store, whose link serves all gates in 0.1 s. A gate forgets an announcement once it has that version. The log states the length of a configuration.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -25,7 +25,7 @@
 
 use crate::core::EdgeCore;
 use crate::datagrams::Datagram;
-use crate::feeds::ConfigText;
+use crate::feeds::{ConfigText, PeerConfig};
 use crate::gates::send_to_near_gates;
 use crate::ports::{EdgeWire, FeedPage, FeedValue, FleetError, FleetStore, SettingsSource};
 use crate::store_health::StoreHealth;
@@ -61,6 +61,11 @@
 /// Time limit of a fetch from another gate of the data centre.
 const PEER_FETCH_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Longest configuration that is fetched from another gate, in bytes; a longer one is read from the
+/// store. All gates of a data centre fetch at the same time, and on the smallest links in use, of 10
+/// Mbit/s, 47 fetches of this length fill [`PEER_FETCH_TIMEOUT`].
+const MAX_FETCHED_CONFIG_BYTES: u64 = 8 << 10;
+
 /// Longest answer of another gate, in bytes.
 const MAX_FETCHED_BYTES: usize = 1 << 20;
 
@@ -101,6 +106,17 @@
         age.as_millis() as u64
     }
 
+    /// A datagram that says what is in force here, and nothing else.
+    pub(crate) fn config_datagram(&self) -> Datagram {
+        Datagram {
+            reads_store: self.reads_store(),
+            config_version: self.config_feed.version(),
+            config_age_ms: Some(self.config_age_ms()),
+            config_bytes: self.config_feed.byte_count(),
+            ..Datagram::default()
+        }
+    }
+
     /// When the configuration in force has not been confirmed for too long.
     fn config_overdue_at(&self) -> Moment {
         let limit = self.settings().bounds.config_apply;
@@ -143,8 +159,8 @@
 {
     let mut health = StoreHealth::new(&core.log, "configurations");
     loop {
-        if let Some(address) = core.config_feed.newer_peer.take()
-            && read_from_gate(&core, address).await
+        if let Some(peer) = core.config_feed.take_newer_peer()
+            && read_from_gate(&core, peer).await
         {
             continue;
         }
@@ -182,12 +198,15 @@
                 } else {
                     now
                 };
+                let confirms_for_others = kind != ConfigRead::Immediate
+                    || core.is_reader(now)
+                    || now >= core.config_overdue_at();
                 apply_configs(&core, page);
                 core.config_feed.confirm(confirmed_at);
                 if core.routes().is_none() {
                     sleep(FIRST_CONFIG_PAUSE).await;
-                } else {
-                    announce_version(&core, &socket).await;
+                } else if confirms_for_others {
+                    send_to_near_gates(&core, &socket, &core.config_datagram()).await;
                 }
             }
             Err(FleetError::HistoryLost) => {
@@ -242,27 +261,21 @@
     }
 }
 
-/// Announces the version in force here to the gates of the data centre.
-async fn announce_version<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) {
-    let datagram = Datagram {
-        config_version: core.config_feed.version(),
-        config_age_ms: Some(core.config_age_ms()),
-        reads_store: core.reads_store(),
-        ..Datagram::default()
-    };
-    send_to_near_gates(core, socket, &datagram).await;
-}
-
-/// Fetches the configuration in force at another gate. Returns false if that failed, and requests a
-/// read from the store.
-async fn read_from_gate<W, S>(core: &EdgeCore<W, S>, address: SocketAddr) -> bool
+/// Fetches the configuration in force at another gate. Returns false if that failed or if the
+/// configuration is too long, and requests a read from the store.
+async fn read_from_gate<W, S>(core: &EdgeCore<W, S>, peer: PeerConfig) -> bool
 where
     W: EdgeWire,
 {
-    let answer = match fetch(core, address, CONFIG_PATH).await {
+    if peer.bytes > MAX_FETCHED_CONFIG_BYTES {
+        core.config_feed.request_read();
+        return false;
+    }
+    let answer = match fetch(core, peer.address, CONFIG_PATH).await {
         Ok(answer) => answer,
         Err(cause) => {
-            let pairs = slog::o!("gate" => address.to_string(), "cause" => cause.to_string());
+            let gate = peer.address.to_string();
+            let pairs = slog::o!("gate" => gate, "cause" => cause.to_string());
             let message = "cannot fetch the configuration from a gate; reading the store instead";
             core.log.emit(LogEvent::PeerLinkEnded, message, pairs);
             core.config_feed.request_read();
@@ -368,7 +381,7 @@
             let version = config.version;
             // An older configuration never replaces a newer one.
             if version > core.config_feed.version() {
-                put_in_force(core, config);
+                put_in_force(core, config, bytes.len());
                 *core.config_feed.text.borrow_mut() = Some(ConfigText { version, bytes });
             }
             Some(version)
@@ -387,8 +400,8 @@
     core.log.emit(LogEvent::ConfigUnreadable, message, pairs);
 }
 
-/// Replaces the routes by those of a configuration.
-fn put_in_force<W, S>(core: &EdgeCore<W, S>, config: RouteConfig) {
+/// Replaces the routes by those of a configuration whose text has a length in bytes.
+fn put_in_force<W, S>(core: &EdgeCore<W, S>, config: RouteConfig, bytes: usize) {
     let now = core.clock.now();
     let confirmed_ago = now.since(core.config_feed.confirmed_at.get());
     let pairs = slog::o!(
@@ -396,6 +409,7 @@
         "before" => core.config_feed.version(),
         "confirmed_ms_ago" => confirmed_ago.as_millis() as u64,
         "routes" => config.routes.len(),
+        "bytes" => bytes,
     );
     core.metrics.set_config_version(config.version);
     let table = RouteTable::new(config, rand::random());
--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -32,6 +32,9 @@
     /// does not state it.
     #[prost(uint64, optional, tag = "7")]
     pub(crate) config_age_ms: Option<u64>,
+    /// Length of the text of that configuration, in bytes; zero if the datagram does not state it.
+    #[prost(uint64, tag = "8")]
+    pub(crate) config_bytes: u64,
     /// Load reports and sends since the last update.
     #[prost(message, optional, tag = "3")]
     pub(crate) load_update: Option<LoadUpdateBody>,
--- a/crates/edge/src/feeds.rs
+++ b/crates/edge/src/feeds.rs
@@ -21,6 +21,18 @@
     pub(crate) bytes: Bytes,
 }
 
+/// What another gate says of its configuration.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PeerConfig {
+    /// Address of the gate.
+    pub(crate) address: SocketAddr,
+    pub(crate) version: u64,
+    /// Length of its text; zero if the gate does not state it.
+    pub(crate) bytes: u64,
+    /// When the gate last knew that version to be the newest; `None` if it does not state it.
+    pub(crate) confirmed_at: Option<Moment>,
+}
+
 /// State of the configuration feed.
 #[derive(Debug, Default)]
 pub(crate) struct ConfigFeed {
@@ -30,8 +42,8 @@
     pub(crate) confirmed_at: Cell<Moment>,
     /// Text of the configuration in force; `None` if there is none.
     pub(crate) text: RefCell<Option<ConfigText>>,
-    /// Address of a gate that has a newer configuration in force.
-    pub(crate) newer_peer: Cell<Option<SocketAddr>>,
+    /// A gate that had a newer configuration in force when it last said so.
+    newer_peer: Cell<Option<PeerConfig>>,
     /// Whether this gate has to read the store at once, even if another gate reads for the data
     /// centre.
     pub(crate) read_requested: Cell<bool>,
@@ -46,30 +58,37 @@
         text.as_ref().map_or(0, |text| text.version)
     }
 
+    /// Length of the text of the configuration in force; zero if there is none.
+    pub(crate) fn byte_count(&self) -> u64 {
+        let text = self.text.borrow();
+        text.as_ref().map_or(0, |text| text.bytes.len() as u64)
+    }
+
     /// Text of the configuration in force; `None` if there is none.
     pub(crate) fn bytes(&self) -> Option<Bytes> {
         let text = self.text.borrow();
         text.as_ref().map(|text| text.bytes.clone())
     }
 
-    /// Remembers the gate at `address` if its `version` is newer than the one in force here. If it is
-    /// the same, this gate knows it to be the newest as of `confirmed_at`.
-    pub(crate) fn note_peer_version(
-        &self,
-        version: u64,
-        confirmed_at: Option<Moment>,
-        address: SocketAddr,
-    ) {
-        if version > self.version() {
-            self.newer_peer.set(Some(address));
+    /// Remembers another gate if its configuration is newer than the one in force here. If it is the
+    /// same, this gate knows it to be the newest as of the time that the other gate states.
+    pub(crate) fn note_peer(&self, peer: PeerConfig) {
+        if peer.version > self.version() {
+            self.newer_peer.set(Some(peer));
             self.wakeup.notify_one();
-        } else if let Some(at) = confirmed_at
-            && version == self.version()
+        } else if let Some(at) = peer.confirmed_at
+            && peer.version == self.version()
         {
             self.confirm(at);
         }
     }
 
+    /// Takes the gate that has a newer configuration in force; `None` if there is none.
+    pub(crate) fn take_newer_peer(&self) -> Option<PeerConfig> {
+        let peer = self.newer_peer.take()?;
+        (peer.version > self.version()).then_some(peer)
+    }
+
     /// Records that the version in force here was the newest at `at`.
     pub(crate) fn confirm(&self, at: Moment) {
         self.confirmed_at.set(self.confirmed_at.get().max(at));
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -18,6 +18,7 @@
 
 use crate::core::EdgeCore;
 use crate::datagrams::Datagram;
+use crate::feeds::PeerConfig;
 use crate::ports::{EdgeWire, FleetError, FleetStore, GateEntry};
 use crate::store_health::StoreHealth;
 
@@ -168,11 +169,8 @@
 fn peer_datagram<W, S>(core: &EdgeCore<W, S>, message: &PeerMessage) -> Datagram {
     Datagram {
         peer: Some(encode_message(message)),
-        reads_store: core.reads_store(),
-        config_version: core.config_feed.version(),
-        config_age_ms: Some(core.config_age_ms()),
         capacity: core.settings().capacity(),
-        ..Datagram::default()
+        ..core.config_datagram()
     }
 }
 
@@ -236,9 +234,12 @@
         handle_message(core, message, datagram.capacity);
     }
     let config_age = datagram.config_age_ms.map(Duration::from_millis);
-    let confirmed_at = config_age.map(|age| core.clock.now() - age);
-    core.config_feed
-        .note_peer_version(datagram.config_version, confirmed_at, sender);
+    core.config_feed.note_peer(PeerConfig {
+        address: sender,
+        version: datagram.config_version,
+        bytes: datagram.config_bytes,
+        confirmed_at: config_age.map(|age| core.clock.now() - age),
+    });
     let mut contacts = core.contacts.borrow_mut();
     contacts.set_reads_store(sender, datagram.reads_store);
     Ok(())
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -279,10 +279,7 @@
     for part in parts {
         let datagram = Datagram {
             servers: Some(part),
-            config_version: core.config_feed.version(),
-            config_age_ms: Some(core.config_age_ms()),
-            reads_store: true,
-            ..Datagram::default()
+            ..core.config_datagram()
         };
         send_to_near_gates(core, socket, &datagram).await;
     }
