Repeat a read of all servers that failed

Cause: a gate whose list differs from another gate's by digest reads all servers. If that read failed, the gate went on with the changes after its cursor, which lies behind the changes that it had missed. A gate that then became the reader of its data centre had nobody to tell it.

Change: the list stays marked as diverged until a read of all servers succeeds.

Evidence: a_gate_that_missed_changes_reads_all_servers_after_a_failed_read failed before (11 of 20 requests to the leaving server) and passes now.

--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -242,6 +242,9 @@
             Err(error) => {
                 core.metrics.count_store_failure();
                 core.server_feed.reads_failing.set(true);
+                if read_all {
+                    core.server_feed.diverged.set(true);
+                }
                 let pause = health.record_failure(&error, core.near_gate_count());
                 let woken = timeout(pause, core.server_feed.wakeup.notified()).await;
                 // A wakeup means that another gate sent changes, so the list may be fresh again.
