Keep to the limit that a server names for all gates together

Cause: no part of a gate read the limit; a server that gets less looks emptier and is chosen more often. Class: a promise about the whole fleet that no gate knows of.

Change: gates read the limit in answers to requests and probes, and pass it on with heartbeats. All requests to such a server leave from one gate of its data centre, chosen by weighted rendezvous hashing of the server over the gates that serve callers; it spaces them with a token bucket of two. An even share of each gate was weighed: with 129 gates and 3 requests a second none reaches one request in 40 s. Other gates send nothing until a newer answer names no limit, or what they know expires; expiry is spread so that all gates together try such a server once a second. Servers that take nothing are not probed.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -237,6 +237,9 @@
     if let Some(sample) = core.wire.read_load(&head.headers) {
         core.record_load_report(service, key, sample);
     }
+    if head.status != StatusCode::MISDIRECTED_REQUEST {
+        core.observe_answer_limit(&server.instance, &head.headers);
+    }
     let framing = AnswerFraming::of(&head, &request.method);
     let refused = head.headers.contains_key(&names.not_run);
     if let Some(failure) = check_answer(&head, framing, names) {
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -11,8 +11,8 @@
 
 use actix_http::ServiceConfig;
 use foldhash::{HashMap, HashMapExt};
-use ggs_limit::FleetRetries;
-use ggs_member::{GateRecord, GateState, PeerPolicy, PeerTable};
+use ggs_limit::{FleetRetries, ServerLimits};
+use ggs_member::{GateRecord, GateState, GroupCandidate, PeerPolicy, PeerTable};
 use ggs_model::{BootClock, Clock, GateId, Incarnation, Moment, ServiceName};
 use ggs_observe::{EventLog, LogEvent};
 use ggs_place::{ListedServer, ProbeBucket, ServerKey};
@@ -83,6 +83,10 @@
     pub(crate) probes: RefCell<ProbeBucket>,
     /// Addresses for datagrams of the gates that load updates are sent to.
     pub(crate) load_update_peers: RefCell<Vec<SocketAddr>>,
+    /// Limits that servers named for all gates together.
+    pub(crate) server_limits: RefCell<ServerLimits>,
+    /// Live gates of the data centre that serve callers.
+    pub(crate) serving: RefCell<Vec<GroupCandidate>>,
     /// Load probes per second that the gates of the data centre may send together.
     near_probes: Cell<f64>,
     /// This gate's share of `near_probes`, from 0 to 1.
@@ -138,6 +142,8 @@
             routes: RefCell::new(None),
             probes: RefCell::new(ProbeBucket::new(now)),
             load_update_peers: RefCell::new(Vec::new()),
+            server_limits: RefCell::new(ServerLimits::default()),
+            serving: RefCell::new(Vec::new()),
             near_probes: Cell::new(0.0),
             probe_share: Cell::new(0.0),
             load_updates: PendingUpdates::default(),
--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -35,6 +35,9 @@
     /// Length of the text of that configuration, in bytes; zero if the datagram does not state it.
     #[prost(uint64, tag = "8")]
     pub(crate) config_bytes: u64,
+    /// Limits that servers named; set in a heartbeat.
+    #[prost(message, repeated, tag = "9")]
+    pub(crate) limits: Vec<LimitBody>,
     /// Load reports and sends since the last update.
     #[prost(message, optional, tag = "3")]
     pub(crate) load_update: Option<LoadUpdateBody>,
@@ -43,6 +46,19 @@
     pub(crate) servers: Option<ServerChangesBody>,
 }
 
+/// What the newest answer of a server that its sender knows said of the server's limit.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LimitBody {
+    #[prost(string, tag = "1")]
+    pub(crate) instance: String,
+    /// Requests per second from all gates together; absent if the server names no limit any more.
+    #[prost(double, optional, tag = "2")]
+    pub(crate) per_second: Option<f64>,
+    /// Milliseconds since that answer.
+    #[prost(uint64, tag = "3")]
+    pub(crate) age_ms: u64,
+}
+
 /// Load reports that the sender received in the last milliseconds, and requests that it sent.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct LoadUpdateBody {
--- a/crates/edge/src/entries.rs
+++ b/crates/edge/src/entries.rs
@@ -48,7 +48,8 @@
     }
 
     /// Finds the gates of this data centre that serve the callers of at least one host name. They
-    /// determine this gate's share of load probes and the gates that it sends load updates to.
+    /// determine this gate's share of load probes, the gates that it sends load updates to, and which
+    /// gate sends to a server that limits requests.
     pub(crate) fn refresh_group(&self, now: Moment) {
         let Some(routes) = self.routes() else {
             return;
@@ -67,6 +68,10 @@
             (1.0 - GROUP_PROBE_FRACTION) / candidates.len().max(1) as f64
         };
         self.set_probe_share(share);
+        let serving = candidates.into_iter();
+        let serving = serving.filter(|gate| members.contains(&gate.callers));
+        *self.serving.borrow_mut() = serving.collect();
+        self.refresh_limits(now);
         let contacts = self.contacts.borrow();
         let next = members.partition_point(|member| *member <= own);
         members.rotate_left(next);
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -170,6 +170,7 @@
     Datagram {
         peer: Some(encode_message(message)),
         capacity: core.settings().capacity(),
+        limits: core.encode_limits(),
         ..core.config_datagram()
     }
 }
@@ -233,6 +234,7 @@
         let message = decode_message(peer).map_err(|error| error.to_string())?;
         handle_message(core, message, datagram.capacity);
     }
+    core.apply_peer_limits(&datagram.limits);
     let config_age = datagram.config_age_ms.map(Duration::from_millis);
     core.config_feed.note_peer(PeerConfig {
         address: sender,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod feeds;
 mod gates;
 mod handle;
+mod limits;
 mod listen;
 mod load_updates;
 mod metrics;
--- a/crates/edge/src/ports.rs
+++ b/crates/edge/src/ports.rs
@@ -79,6 +79,10 @@
 
     /// Reads the load that a server reports in its headers; `None` if it reports none.
     fn read_load(&self, headers: &HeaderMap) -> Option<LoadSample>;
+
+    /// Reads the requests per second that a server takes from all gates together; `None` if it names
+    /// no limit.
+    fn read_limit(&self, headers: &HeaderMap) -> Option<f64>;
 }
 
 /// A source of settings, which may change while the gate runs.
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -142,6 +142,7 @@
         return ProbeResult::Failed;
     }
     let load = core.wire.read_load(&head.headers);
+    core.observe_probe_limit(&server.instance, &head.headers);
     if let Ok(connection) = connection.skip_body().await
         && connection.is_reusable()
         && !connection.has_unread_bytes()
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -5,12 +5,14 @@
 //! - [`AdmissionLimits`]: requests in flight at one gate, bounded so that overload by one partner
 //!   or one class of request leaves capacity for the others.
 //! - [`ConnectionShare`]: connections that one gate may hold to a server.
+//! - [`ServerLimits`]: limits that servers name for all gates together.
 //!
 //! All are plain values: they read no clock and do no I/O.
 
 mod admission;
 mod chain_retries;
 mod fleet_retries;
+mod server_limits;
 mod share;
 
 pub use admission::{
@@ -19,4 +21,5 @@
 };
 pub use chain_retries::{ChainPosition, ChainRetries};
 pub use fleet_retries::FleetRetries;
+pub use server_limits::{NamedLimit, ServerLimits};
 pub use share::{ConnectionShare, MAX_GATES, MAX_UNNOTICED_PAUSE, SHARE_GROWTH_DELAY};
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -70,6 +70,9 @@
     StoreHistoryLost = 307,
     /// The platform's store was restored from a copy and lost its newest changes.
     StoreRestored = 308,
+    /// A server named a limit on the requests that it takes from all gates together, or named none
+    /// any more.
+    ServerLimited = 309,
     /// A request failed with a verdict on whether it ran.
     RequestFailed = 400,
     /// A caller's connection failed, for example by a protocol error.
@@ -146,6 +149,7 @@
             | Self::PlatformRecovered
             | Self::ServerLeaving
             | Self::StoreHistoryLost
+            | Self::ServerLimited
             | Self::GateJoined
             | Self::GateLeft
             | Self::GatesSeen => LogLevel::Info,
--- a/crates/place/src/load_table.rs
+++ b/crates/place/src/load_table.rs
@@ -55,6 +55,9 @@
 /// Most requests remembered per server as sent after its latest load report.
 const MAX_UNREPORTED_COUNT: usize = 64;
 
+/// Most requests that may be sent at once to a server that limits requests, after a time without any.
+const MAX_SAVED_SENDS: f64 = 2.0;
+
 /// Identifies a server in its table for as long as it is listed; keys are not reused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct ServerKey(u64);
@@ -134,6 +137,52 @@
     Abandoned,
 }
 
+/// The requests that this gate may send to a server that limits them: a token bucket with a token for
+/// each request.
+#[derive(Clone, Copy, Debug)]
+struct SendQuota {
+    /// Requests per second; zero forbids all.
+    per_second: f64,
+    tokens: f64,
+    /// When the number of tokens was correct.
+    counted_at: Moment,
+}
+
+impl SendQuota {
+    /// A quota for one request at once.
+    const fn new(per_second: f64, now: Moment) -> Self {
+        Self {
+            per_second,
+            tokens: 1.0,
+            counted_at: now,
+        }
+    }
+
+    /// The tokens at `now`.
+    fn tokens_at(&self, now: Moment) -> f64 {
+        let added = now.since(self.counted_at).as_secs_f64() * self.per_second;
+        (self.tokens + added).min(MAX_SAVED_SENDS)
+    }
+
+    /// Whether a request may be sent now.
+    fn allows(&self, now: Moment) -> bool {
+        self.per_second > 0.0 && self.tokens_at(now) >= 1.0
+    }
+
+    /// Takes the token of a request that is sent.
+    fn take(&mut self, now: Moment) {
+        self.tokens = self.tokens_at(now) - 1.0;
+        self.counted_at = now;
+    }
+
+    /// Changes the rate; tokens of the time until `now` are counted by the old one.
+    fn set_rate(&mut self, per_second: f64, now: Moment) {
+        self.tokens = self.tokens_at(now);
+        self.counted_at = now;
+        self.per_second = per_second;
+    }
+}
+
 /// One server with its latest load and its failure rate.
 #[derive(Clone, Debug)]
 struct LoadEntry {
@@ -145,6 +194,8 @@
     failure_rate: f64,
     outcome_at: Moment,
     avoid_until: Moment,
+    /// `None` if the server does not limit requests.
+    quota: Option<SendQuota>,
 }
 
 impl LoadEntry {
@@ -158,9 +209,20 @@
             failure_rate: 0.0,
             outcome_at: now,
             avoid_until: Moment::ZERO,
+            quota: None,
         }
     }
 
+    /// Whether a request may be sent now, by the limit of the server.
+    fn is_allowed(&self, now: Moment) -> bool {
+        self.quota.is_none_or(|quota| quota.allows(now))
+    }
+
+    /// Whether the server takes no request of this gate, by its limit.
+    fn is_forbidden(&self) -> bool {
+        self.quota.is_some_and(|quota| quota.per_second <= 0.0)
+    }
+
     /// The failure rate at `now`, decayed since the last outcome.
     fn failure_rate_at(&self, now: Moment) -> f64 {
         let idle = now.since(self.outcome_at).as_secs_f64();
@@ -312,7 +374,7 @@
     }
 
     /// Draws up to `count` random servers whose latest load is older than `since` or unknown. Those
-    /// that could not be reached lately come last.
+    /// that could not be reached lately come last, and those that take no request are left out.
     pub fn stale_servers(
         &mut self,
         count: usize,
@@ -322,8 +384,8 @@
     ) -> Vec<ServerKey> {
         let candidates = self.list(scope).iter().copied();
         let candidates = candidates.filter(|key| {
-            let sample = self.entries[key].sample;
-            sample.is_none_or(|(_, at)| at < since)
+            let entry = &self.entries[key];
+            !entry.is_forbidden() && entry.sample.is_none_or(|(_, at)| at < since)
         });
         let reachable = |key: &ServerKey| self.entries[key].avoid_until <= now;
         let (mut chosen, mut avoided): (Vec<_>, Vec<_>) = candidates.partition(reachable);
@@ -335,6 +397,19 @@
         chosen
     }
 
+    /// Sets how many requests per second this gate may send to a server; `None` if there is no limit.
+    pub fn set_quota(&mut self, key: ServerKey, per_second: Option<f64>, now: Moment) {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return;
+        };
+        match (&mut entry.quota, per_second) {
+            (Some(quota), Some(per_second)) => quota.set_rate(per_second, now),
+            (quota, per_second) => {
+                *quota = per_second.map(|per_second| SendQuota::new(per_second, now));
+            }
+        }
+    }
+
     /// Stores the load that a server reported.
     ///
     /// Requests sent within the last round trip may have arrived after the report, so they stay
@@ -357,7 +432,7 @@
 
     /// The best server of a scope by the loads that are recent enough for the query.
     ///
-    /// Servers whose queue is full are left out.
+    /// Servers whose queue is full, or that take no request now by their limit, are left out.
     pub fn best(&mut self, scope: ServerScope, query: &PlacementQuery<'_>) -> Option<Placement> {
         let keys = self.list(scope).to_vec();
         self.best_of(&keys, query, |entry| entry.fresh_load(query.since))
@@ -390,6 +465,9 @@
             let Some(entry) = self.entries.get(key) else {
                 continue;
             };
+            if !entry.is_allowed(query.now) {
+                continue;
+            }
             let placement = load(entry).and_then(|load| rank_server(*key, entry, load, query));
             let Some(mut placement) = placement else {
                 continue;
@@ -408,6 +486,9 @@
     pub fn start(&mut self, key: ServerKey, now: Moment) {
         if let Some(entry) = self.entries.get_mut(&key) {
             entry.in_flight += 1;
+            if let Some(quota) = &mut entry.quota {
+                quota.take(now);
+            }
         }
         self.note_sent(key, now);
     }
--- a/crates/place/tests/load_table.rs
+++ b/crates/place/tests/load_table.rs
@@ -115,3 +115,38 @@
         assert!(chosen > CHOICES / 4, "{}: {chosen} after 20 s", case.name);
     }
 }
+
+#[test]
+fn a_server_that_limits_requests_gets_its_rate_and_is_not_left_unused() {
+    const WINDOW_MS: u64 = 4_000;
+    const TIME_MS: u64 = 20_000;
+    for per_second in [0.0, 0.4, 2.3, 40.0] {
+        let (mut table, limited, other) = table();
+        table.set_quota(limited, Some(per_second), Moment::ZERO);
+        let mut sent_ms = Vec::new();
+        for at_ms in (0..TIME_MS).step_by(7) {
+            let now = Moment::from_millis(at_ms);
+            let sends = times_chosen(&mut table, limited, [limited, other], now) > 0;
+            if sends {
+                table.start(limited, now);
+                table.end(limited, SendOutcome::Answered, now);
+                sent_ms.push(at_ms);
+            }
+        }
+        let in_window = |start: u64| {
+            let sent = sent_ms.iter();
+            let sent = sent.filter(|at| (start..start + WINDOW_MS).contains(*at));
+            sent.count() as f64
+        };
+        let most = sent_ms.iter().map(|start| in_window(*start));
+        let most = most.fold(0.0, f64::max);
+        let seconds = WINDOW_MS as f64 / 1_000.0;
+        assert!(
+            most <= per_second * seconds + 2.0,
+            "{most} of {per_second} a second"
+        );
+        let total = per_second * TIME_MS as f64 / 1_000.0;
+        let used = sent_ms.len() as f64;
+        assert!(used >= total * 0.9 - 1.0, "{used} of {total} in all");
+    }
+}
