Try a server whose limit has expired with a single request

What a server would see: once a gate that sends it nothing had no news of its limit for long enough, that gate sent requests without a limit until the first answer, several of them under load.

Cause: an expired limit was forgotten, as if the server had named none.

Change: an expired limit allows one request, whose answer tells whether the limit still holds; a server without an answer is forgotten five minutes later.

--- a/crates/edge/src/limits.rs
+++ b/crates/edge/src/limits.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
-use ggs_limit::NamedLimit;
+use ggs_limit::{LimitState, NamedLimit};
 use ggs_member::choose_group;
 use ggs_model::{Clock, Moment};
 use ggs_observe::LogEvent;
@@ -21,12 +21,15 @@
 use crate::ports::EdgeWire;
 
 /// Mean time for which a limit is taken to hold without news, for each gate of the fleet. When it has
-/// expired, a gate sends one request; all gates together send at most one per second.
+/// expired, a gate sends one request; all gates together send about one per second.
 const LIMIT_TTL_PER_GATE: Duration = Duration::from_secs(1);
 
 /// Shortest mean time for which a limit is taken to hold without news; some heartbeats may be lost.
 const MIN_LIMIT_TTL: Duration = Duration::from_secs(10);
 
+/// Requests per second to a server whose limit has expired, until it answers.
+const TRIAL_RATE: f64 = 0.01;
+
 /// Most limits in a heartbeat; each takes about 30 bytes.
 const MAX_LIMITS_COUNT: usize = 30;
 
@@ -88,7 +91,10 @@
         );
         let message = "limit of a server changed";
         self.log.emit(LogEvent::ServerLimited, message, pairs);
-        self.apply_limit(instance, limit.per_second);
+        let state = limit
+            .per_second
+            .map_or(LimitState::Unlimited, LimitState::Limited);
+        self.apply_limit(instance, state);
     }
 
     /// The known limits as other gates get them, newest first.
@@ -103,32 +109,31 @@
         bodies.take(MAX_LIMITS_COUNT).collect()
     }
 
-    /// Applies all known limits again, as gates or servers may have changed, and ends those that have
-    /// expired.
+    /// Applies all known limits again, as gates or servers may have changed, and forgets those that
+    /// ended long ago.
     pub(crate) fn refresh_limits(&self, now: Moment) {
         let mut limits = self.server_limits.borrow_mut();
         for instance in limits.expire(now) {
-            self.apply_limit(&instance, None);
+            self.apply_limit(&instance, LimitState::Unlimited);
         }
-        for (instance, limit) in limits.newest() {
-            self.apply_limit(instance, limit.per_second);
+        for (instance, state) in limits.states(now) {
+            self.apply_limit(instance, state);
         }
     }
 
     /// Sets what this gate may send to a server.
-    fn apply_limit(&self, instance: &str, limit: Option<f64>) {
+    fn apply_limit(&self, instance: &str, state: LimitState) {
         let Some((service, key)) = self.find_server(instance) else {
             return;
         };
         let mut table = service.table.borrow_mut();
         let near = table.server(key).is_some_and(|server| server.near);
-        let quota = limit.map(|limit| {
-            if near && self.sends_limited(instance) {
-                limit
-            } else {
-                0.0
-            }
-        });
+        let quota = match state {
+            LimitState::Unlimited => None,
+            LimitState::Trial => Some(TRIAL_RATE),
+            LimitState::Limited(limit) if near && self.sends_limited(instance) => Some(limit),
+            LimitState::Limited(_) => Some(0.0),
+        };
         table.set_quota(key, quota, self.clock.now());
     }
 
--- a/crates/limit/src/server_limits.rs
+++ b/crates/limit/src/server_limits.rs
@@ -1,7 +1,7 @@
 //! Limits that servers name for all gates together, as one gate knows them.
 //!
 //! A gate learns a limit from an answer of the server or from another gate. A gate that may send
-//! nothing to the server gets no more answers from it, so what it knows expires, and a single request
+//! nothing to the server gets no more answers from it, so what it knows expires, and a trial request
 //! then shows whether the server still names a limit.
 
 use std::sync::Arc;
@@ -19,6 +19,20 @@
     pub named_at: Moment,
 }
 
+/// What a gate may send to a server that names a limit or did so lately.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum LimitState {
+    /// All gates together may send this many requests per second.
+    Limited(f64),
+    /// The limit has expired; a gate may send one request to learn whether it still holds.
+    Trial,
+    /// The server names no limit any more.
+    Unlimited,
+}
+
+/// Time after the expiry of a limit for which a server is remembered without an answer.
+const TRIAL_TIME: Duration = Duration::from_mins(5);
+
 /// A limit and how long it is taken to hold without news.
 #[derive(Clone, Copy, Debug)]
 struct LimitEntry {
@@ -26,18 +40,30 @@
     expires_at: Moment,
 }
 
+impl LimitEntry {
+    /// What a gate may send at `now`.
+    fn state(&self, now: Moment) -> LimitState {
+        match self.limit.per_second {
+            None => LimitState::Unlimited,
+            Some(_) if now >= self.expires_at => LimitState::Trial,
+            Some(per_second) => LimitState::Limited(per_second),
+        }
+    }
+}
+
 /// The servers that name a limit, or did so lately, by instance identifier.
 ///
 /// ```
 /// use std::time::Duration;
-/// use ggs_limit::{NamedLimit, ServerLimits};
+/// use ggs_limit::{LimitState, NamedLimit, ServerLimits};
 /// use ggs_model::Moment;
 ///
 /// let mut limits = ServerLimits::default();
 /// let limit = NamedLimit { per_second: Some(2.5), named_at: Moment::ZERO };
 /// assert!(limits.observe("i-1", limit, Duration::from_secs(5)));
-/// assert_eq!(limits.newest().next(), Some(("i-1", limit)));
-/// assert_eq!(limits.expire(Moment::from_millis(5_000)).len(), 1);
+/// let state = |at_ms| limits.states(Moment::from_millis(at_ms)).next();
+/// assert_eq!(state(4_999), Some(("i-1", LimitState::Limited(2.5))));
+/// assert_eq!(state(5_000), Some(("i-1", LimitState::Trial)));
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct ServerLimits {
@@ -46,7 +72,7 @@
 
 impl ServerLimits {
     /// Records what an answer of a server said; it expires `ttl` after the answer. Returns whether
-    /// the limit of the server changed. An answer that is not newer than the known one is ignored,
+    /// this changes what a gate may send. An answer that is not newer than the known one is ignored,
     /// and so is one without a limit of a server that named none before.
     pub fn observe(&mut self, server: &str, limit: NamedLimit, ttl: Duration) -> bool {
         let entry = LimitEntry {
@@ -63,20 +89,28 @@
         if limit.named_at <= known.limit.named_at {
             return false;
         }
-        let changed = limit.per_second != known.limit.per_second;
+        let changed = limit.per_second != known.limit.per_second
+            || known.state(limit.named_at) == LimitState::Trial;
         *known = entry;
         changed
     }
 
-    /// Forgets what has expired, and returns those servers.
+    /// Forgets servers that have named no limit for a long time, and returns them.
     pub fn expire(&mut self, now: Moment) -> Vec<Arc<str>> {
-        let expired = self.entries.extract_if(|_, entry| entry.expires_at <= now);
+        let expired = self.entries.extract_if(|_, entry| {
+            let ends_at = match entry.limit.per_second {
+                Some(_) => entry.expires_at + TRIAL_TIME,
+                None => entry.expires_at,
+            };
+            ends_at <= now
+        });
         expired.map(|(server, _)| server).collect()
     }
 
-    /// Whether no server names a limit or did so lately.
-    pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+    /// What a gate may send to each server at `now`, in no particular order.
+    pub fn states(&self, now: Moment) -> impl Iterator<Item = (&str, LimitState)> {
+        let entries = self.entries.iter();
+        entries.map(move |(server, entry)| (server.as_ref(), entry.state(now)))
     }
 
     /// All known limits, newest first.
