Log only the beginning and the end of a server's limit

A server may change its rate each second; a line for each at every gate would fill the log. The report of an answer tells such a change apart from a limit that began, ended or holds again. The handling of a read of configurations moves out of the loop that follows them.

--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -188,21 +188,10 @@
         match read {
             Ok(page) => {
                 health.record_success();
-                core.note_store_era(page.cursor.era);
-                core.config_feed.cursor.set(Some(page.cursor));
-                // The store has held a page without changes for the whole wait.
-                let now = core.clock.now();
-                let unchanged_at = (started + kind.wait()).min(now);
-                let confirmed_at = if page.changes.is_empty() {
-                    unchanged_at
-                } else {
-                    now
-                };
                 let confirms_for_others = kind != ConfigRead::Immediate
-                    || core.is_reader(now)
-                    || now >= core.config_overdue_at();
-                apply_configs(&core, page);
-                core.config_feed.confirm(confirmed_at);
+                    || core.is_reader(started)
+                    || started >= core.config_overdue_at();
+                apply_read(&core, kind, started, page);
                 if core.routes().is_none() {
                     sleep(FIRST_CONFIG_PAUSE).await;
                 } else if confirms_for_others {
@@ -224,6 +213,25 @@
     }
 }
 
+/// Applies what a read that began at `started` returned, and confirms the configuration that is then
+/// in force.
+fn apply_read<W, S>(core: &EdgeCore<W, S>, kind: ConfigRead, started: Moment, page: FeedPage<Bytes>)
+where
+    W: EdgeWire,
+{
+    let now = core.clock.now();
+    let confirmed_at = if page.changes.is_empty() {
+        // The store has held the call for the whole wait.
+        (started + kind.wait()).min(now)
+    } else {
+        now
+    };
+    core.note_store_era(page.cursor.era);
+    core.config_feed.cursor.set(Some(page.cursor));
+    apply_configs(core, page);
+    core.config_feed.confirm(confirmed_at);
+}
+
 /// Reads the configurations that are new in the store.
 async fn read_at_once<W, S>(core: &EdgeCore<W, S>) -> Result<FeedPage<Bytes>, FleetError>
 where
--- a/crates/edge/src/limits.rs
+++ b/crates/edge/src/limits.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
-use ggs_limit::{LimitState, NamedLimit};
+use ggs_limit::{LimitChange, LimitState, NamedLimit};
 use ggs_member::choose_group;
 use ggs_model::{Clock, Moment};
 use ggs_observe::LogEvent;
@@ -74,23 +74,29 @@
         }
     }
 
-    /// Records a limit, and applies it if it differs from the known one.
+    /// Records a limit, and applies it if it differs from the known one. A server may change its rate
+    /// each second, so only its beginning and its end are logged.
     fn record_limit(&self, instance: &str, limit: NamedLimit, source: &'static str) {
         let ttl = (LIMIT_TTL_PER_GATE * self.fleet_size() as u32).max(MIN_LIMIT_TTL);
         // Random jitter, so that gates do not try a server again at the same time.
         let ttl = ttl.mul_f64(rand::random_range(0.5..1.5));
-        let mut limits = self.server_limits.borrow_mut();
-        if !limits.observe(instance, limit, ttl) {
-            return;
+        let change = {
+            let mut limits = self.server_limits.borrow_mut();
+            limits.observe(instance, limit, ttl)
+        };
+        match change {
+            LimitChange::Unchanged => return,
+            LimitChange::Rate => {}
+            LimitChange::State => {
+                let pairs = slog::o!(
+                    "server" => instance.to_owned(),
+                    "per_second" => limit.per_second,
+                    "source" => source,
+                );
+                let message = "server began or ceased to name a limit";
+                self.log.emit(LogEvent::ServerLimited, message, pairs);
+            }
         }
-        drop(limits);
-        let pairs = slog::o!(
-            "server" => instance.to_owned(),
-            "per_second" => limit.per_second,
-            "source" => source,
-        );
-        let message = "limit of a server changed";
-        self.log.emit(LogEvent::ServerLimited, message, pairs);
         let state = limit
             .per_second
             .map_or(LimitState::Unlimited, LimitState::Limited);
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -21,5 +21,5 @@
 };
 pub use chain_retries::{ChainPosition, ChainRetries};
 pub use fleet_retries::FleetRetries;
-pub use server_limits::{LimitState, NamedLimit, ServerLimits};
+pub use server_limits::{LimitChange, LimitState, NamedLimit, ServerLimits};
 pub use share::{ConnectionShare, MAX_GATES, MAX_UNNOTICED_PAUSE, SHARE_GROWTH_DELAY};
--- a/crates/limit/src/server_limits.rs
+++ b/crates/limit/src/server_limits.rs
@@ -30,6 +30,17 @@
     Unlimited,
 }
 
+/// How a report changes what is known of a server's limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitChange {
+    /// Not at all.
+    Unchanged,
+    /// The server still names a limit, but another one.
+    Rate,
+    /// The server began or ceased to name a limit, or one that had expired holds.
+    State,
+}
+
 /// Time after the expiry of a limit for which a server is remembered without an answer.
 const TRIAL_TIME: Duration = Duration::from_mins(5);
 
@@ -55,12 +66,12 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use ggs_limit::{LimitState, NamedLimit, ServerLimits};
+/// use ggs_limit::{LimitChange, LimitState, NamedLimit, ServerLimits};
 /// use ggs_model::Moment;
 ///
 /// let mut limits = ServerLimits::default();
 /// let limit = NamedLimit { per_second: Some(2.5), named_at: Moment::ZERO };
-/// assert!(limits.observe("i-1", limit, Duration::from_secs(5)));
+/// assert_eq!(limits.observe("i-1", limit, Duration::from_secs(5)), LimitChange::State);
 /// let state = |at_ms| limits.states(Moment::from_millis(at_ms)).next();
 /// assert_eq!(state(4_999), Some(("i-1", LimitState::Limited(2.5))));
 /// assert_eq!(state(5_000), Some(("i-1", LimitState::Trial)));
@@ -71,28 +82,31 @@
 }
 
 impl ServerLimits {
-    /// Records what an answer of a server said; it expires `ttl` after the answer. Returns whether
-    /// this changes what a gate may send. An answer that is not newer than the known one is ignored,
-    /// and so is one without a limit of a server that named none before.
-    pub fn observe(&mut self, server: &str, limit: NamedLimit, ttl: Duration) -> bool {
+    /// Records what an answer of a server said; it expires `ttl` after the answer. An answer that is
+    /// not newer than the known one is ignored, and so is one without a limit of a server that named
+    /// none before.
+    pub fn observe(&mut self, server: &str, limit: NamedLimit, ttl: Duration) -> LimitChange {
         let entry = LimitEntry {
             limit,
             expires_at: limit.named_at + ttl,
         };
         let Some(known) = self.entries.get_mut(server) else {
             if limit.per_second.is_none() {
-                return false;
+                return LimitChange::Unchanged;
             }
             self.entries.insert(server.into(), entry);
-            return true;
+            return LimitChange::State;
         };
         if limit.named_at <= known.limit.named_at {
-            return false;
+            return LimitChange::Unchanged;
         }
-        let changed = limit.per_second != known.limit.per_second
-            || known.state(limit.named_at) == LimitState::Trial;
+        let before = known.state(limit.named_at);
         *known = entry;
-        changed
+        match (before, entry.state(limit.named_at)) {
+            (before, after) if before == after => LimitChange::Unchanged,
+            (LimitState::Limited(_), LimitState::Limited(_)) => LimitChange::Rate,
+            _ => LimitChange::State,
+        }
     }
 
     /// Forgets servers that have named no limit for a long time, and returns them.
