Decode one request of a connection at a time

A caller sends requests behind one another on a connection, and takes what follows an answer that closes it as not read, so it sends that again, whatever its kind.

Cause: the dispatcher of actix-http decodes up to 16 requests ahead, runs all that it has decoded, and keeps one close flag for the connection. A check in front of the service cannot mend that: the service does not learn which answer closes. The new crate ggs-listen decodes one request at a time with the codec of actix-http, and decides before each whether it may start. ggs-gate and ggs-edge share its accept loop; the wrapper of ggs-gate for stalled writes moves there.

Idempotent requests of one connection go to servers at once and are answered in order, because a slow first one ate the deadline of those behind it. An answer that would close then leaves that to the last request that has started. Deadlines count from arrival: a POST behind a GET of 400 ms got 799 ms of 800.

A body that breaks off resets the connection, as an HTTP/1.0 caller takes a normal end for the end of the answer. A stop serves the connections that are established and not accepted yet.

--- a/crates/edge/src/drain.rs
+++ b/crates/edge/src/drain.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ggs_listen::OpenConnections;
 use ggs_observe::LogEvent;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -14,7 +15,6 @@
 
 use crate::core::EdgeCore;
 use crate::gates;
-use crate::listen::CallerConnections;
 use crate::ports::{EdgeWire, FleetStore};
 
 /// Part of the grace period in which callers are still accepted, in percent.
@@ -30,7 +30,7 @@
 pub(crate) async fn drain<W, S>(
     core: &Rc<EdgeCore<W, S>>,
     socket: &UdpSocket,
-    connections: &CallerConnections,
+    connections: &OpenConnections,
     stop: &watch::Sender<bool>,
 ) where
     W: EdgeWire,
--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use ggs_listen::OpenConnections;
 use ggs_observe::{EventLog, LogEvent};
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::Signal;
@@ -15,8 +16,7 @@
 use crate::drain::drain;
 use crate::gates;
 use crate::listen::{
-    CallerConnections, answer_entries, answer_metrics, answer_peer, answer_ready, serve_callers,
-    serve_immediate,
+    answer_entries, answer_metrics, answer_peer, answer_ready, serve_callers, serve_immediate,
 };
 use crate::load_updates;
 use crate::ports::{EdgeWire, FleetStore, SettingsSource};
@@ -52,7 +52,7 @@
 pub struct EdgeHandle<W, S> {
     core: Rc<EdgeCore<W, S>>,
     socket: Rc<UdpSocket>,
-    connections: CallerConnections,
+    connections: OpenConnections,
     /// Stops the listener for callers' requests.
     stop: watch::Sender<bool>,
     /// Stops the other listeners, which stay open during the drain.
@@ -86,7 +86,7 @@
     let socket = Rc::new(socket);
     let (stop, stopped) = watch::channel(false);
     let (finish, finished) = watch::channel(false);
-    let connections = CallerConnections::default();
+    let connections = OpenConnections::default();
     let clone = Rc::clone;
     actix_rt::spawn(serve_callers(
         clone(&core),
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -4,16 +4,15 @@
 //! All of them run the same accept loop. Requests of callers take the path through [`serve`]; the
 //! others are answered at once from the state of the gate.
 
-use std::cell::Cell;
-use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::MessageBody;
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
-use actix_http::{HttpService, KeepAlive, Request, Response, StatusCode};
-use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use actix_http::{Request, Response, StatusCode};
 use bytes::Bytes;
+use ggs_listen::{ListenError, ListenOptions, OpenConnections, RequestHandler, accept_connections};
+use ggs_model::Moment;
 use ggs_observe::{EventLog, LogEvent};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -34,29 +33,48 @@
 /// does not apply.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Longest time for a connection to shut down.
-const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 const METRICS_PATH: &str = "/metrics";
 
-/// Pause after a failed accept, before the next one.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Timeouts and limits of all listeners of a gate.
+fn listen_options() -> ListenOptions {
+    ListenOptions {
+        idle_timeout: CALLER_IDLE_TIMEOUT,
+        head_timeout: REQUEST_HEAD_TIMEOUT,
+        ..ListenOptions::default()
+    }
+}
 
-/// Pause between two checks whether all connections of callers are closed.
-const CLOSED_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+/// Logs how a connection ended, if it failed.
+fn log_connection_end(log: &EventLog, caller: SocketAddr, result: &Result<(), ListenError>) {
+    if let Err(error) = result {
+        let pairs = slog::o!("caller" => caller.to_string(), "cause" => error.to_string());
+        let message = "caller connection failed";
+        log.emit(LogEvent::CallerConnectionFailed, message, pairs);
+    }
+}
 
-/// The number of open connections of callers, shared by their tasks.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct CallerConnections {
-    count: Rc<Cell<usize>>,
+/// Answers requests of callers, on the path through [`serve`].
+struct CallerHandler<W, S> {
+    core: Rc<EdgeCore<W, S>>,
 }
 
-impl CallerConnections {
-    /// Waits until no connection is open.
-    pub(crate) async fn all_closed(&self) {
-        while self.count.get() > 0 {
-            tokio::time::sleep(CLOSED_CHECK_INTERVAL).await;
-        }
+impl<W, S> RequestHandler for CallerHandler<W, S>
+where
+    W: EdgeWire,
+    S: 'static,
+{
+    type Body = EdgeBody;
+
+    async fn handle(self: Rc<Self>, request: Request, arrived_at: Moment) -> Response<EdgeBody> {
+        serve::serve(&self.core, request, arrived_at).await
+    }
+
+    fn can_overlap(&self, request: &Request) -> bool {
+        serve::is_idempotent(&self.core, request)
+    }
+
+    fn connection_ended(&self, caller: SocketAddr, result: &Result<(), ListenError>) {
+        log_connection_end(&self.core.log, caller, result);
     }
 }
 
@@ -65,18 +83,14 @@
 pub(crate) async fn serve_callers<W, S>(
     core: Rc<EdgeCore<W, S>>,
     listener: TcpListener,
-    connections: CallerConnections,
+    connections: OpenConnections,
     stop: watch::Receiver<bool>,
 ) where
     W: EdgeWire,
     S: 'static,
 {
-    let log = core.log.clone();
-    let handler = move |request: Request| {
-        let core = Rc::clone(&core);
-        async move { serve::serve(&core, request).await }
-    };
-    accept(listener, connections, stop, log, handler).await;
+    let handler = Rc::new(CallerHandler { core });
+    accept_connections(listener, listen_options(), connections, stop, handler).await;
 }
 
 /// Answers the platform's readiness check: 200 if the gate is ready, 503 if it is not.
@@ -127,6 +141,29 @@
     Response::with_body(status, EdgeBody::whole(bytes.unwrap_or_default()))
 }
 
+/// Answers requests that need no waiting.
+struct ImmediateHandler<W, S, A> {
+    core: Rc<EdgeCore<W, S>>,
+    answer: A,
+}
+
+impl<W, S, A> RequestHandler for ImmediateHandler<W, S, A>
+where
+    W: EdgeWire,
+    S: 'static,
+    A: Fn(&EdgeCore<W, S>, &Request) -> Response<EdgeBody> + 'static,
+{
+    type Body = EdgeBody;
+
+    async fn handle(self: Rc<Self>, request: Request, _: Moment) -> Response<EdgeBody> {
+        (self.answer)(&self.core, &request)
+    }
+
+    fn connection_ended(&self, caller: SocketAddr, result: &Result<(), ListenError>) {
+        log_connection_end(&self.core.log, caller, result);
+    }
+}
+
 /// Serves requests that `answer` can answer without waiting.
 pub(crate) async fn serve_immediate<W, S, A>(
     core: Rc<EdgeCore<W, S>>,
@@ -138,9 +175,9 @@
     S: 'static,
     A: Fn(&EdgeCore<W, S>, &Request) -> Response<EdgeBody> + 'static,
 {
-    let log = core.log.clone();
-    let handler = move |request: Request| std::future::ready(answer(&core, &request));
-    accept(listener, CallerConnections::default(), stop, log, handler).await;
+    let handler = Rc::new(ImmediateHandler { core, answer });
+    let connections = OpenConnections::default();
+    accept_connections(listener, listen_options(), connections, stop, handler).await;
 }
 
 /// Answers an entry query of a caller with the addresses of gates that it may use.
@@ -161,65 +198,3 @@
     response.headers_mut().insert(CONTENT_TYPE, json);
     response
 }
-
-/// Accepts connections until `stop` turns true and answers their requests.
-///
-/// When a caller closes its connection, the future of its request is dropped, which cancels the work
-/// for it.
-async fn accept<H, F, B>(
-    listener: TcpListener,
-    connections: CallerConnections,
-    stop: watch::Receiver<bool>,
-    log: EventLog,
-    handler: H,
-) where
-    H: Fn(Request) -> F + 'static,
-    F: Future<Output = Response<B>> + 'static,
-    B: MessageBody + 'static,
-{
-    let signal = stop.clone();
-    let handler = Rc::new(handler);
-    let request_service = fn_service(move |request: Request| {
-        let handler = Rc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler(request).await) }
-    });
-    let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(CALLER_IDLE_TIMEOUT))
-        .client_request_timeout(REQUEST_HEAD_TIMEOUT)
-        .client_disconnect_timeout(DISCONNECT_TIMEOUT)
-        .h1_allow_half_closed(false)
-        .graceful_shutdown_signal(move || wait_for_stop(signal.clone()))
-        .h1(request_service.into_factory());
-    let Ok(service) = factory.new_service(()).await else {
-        return;
-    };
-    let service = Rc::new(service);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = wait_for_stop(stop.clone()) => return,
-        };
-        let Ok((stream, peer)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        // Without `TCP_NODELAY` the connection still works.
-        let _nodelay_set = stream.set_nodelay(true);
-        connections.count.set(connections.count.get() + 1);
-        let (service, connections, log) = (Rc::clone(&service), connections.clone(), log.clone());
-        actix_rt::spawn(async move {
-            if let Err(error) = service.call((stream, Some(peer))).await {
-                let pairs = slog::o!("caller" => peer.to_string(), "cause" => error.to_string());
-                let message = "caller connection failed";
-                log.emit(LogEvent::CallerConnectionFailed, message, pairs);
-            }
-            connections.count.set(connections.count.get() - 1);
-        });
-    }
-}
-
-/// Waits until `stop` turns true.
-async fn wait_for_stop(mut stop: watch::Receiver<bool>) {
-    // A dropped sender stops the listener too.
-    let _closed = stop.wait_for(|stopped| *stopped).await;
-}
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -36,18 +36,18 @@
 /// Time after which a caller may retry if its request failed after a server was chosen for it.
 const FAILED_RETRY_AFTER: Duration = Duration::from_millis(40);
 
-/// Returns the final answer to a request. While the gate drains, the answer also closes the caller's
+/// Returns the final answer to a request whose head had arrived at `arrived_at`. While the gate drains, the answer also closes the caller's
 /// connection.
 pub(crate) async fn serve<W, S>(
     core: &Rc<EdgeCore<W, S>>,
     mut request: Request,
+    arrived_at: Moment,
 ) -> Response<EdgeBody>
 where
     W: EdgeWire,
     S: 'static,
 {
-    let read_at = core.clock.now();
-    let mut response = match prepare(core, &mut request, read_at).await {
+    let mut response = match prepare(core, &mut request, arrived_at).await {
         Ok((routes, request)) => {
             let span = RequestSpan::start(core, &request);
             let response = relay(core, &routes, &request, &span).await;
@@ -63,11 +63,23 @@
     response
 }
 
+/// Whether a request is known to be idempotent by its route.
+pub(crate) fn is_idempotent<W, S>(core: &EdgeCore<W, S>, request: &Request) -> bool {
+    let Some(routes) = core.routes() else {
+        return false;
+    };
+    let host = read_host(request);
+    let route = host
+        .ok()
+        .and_then(|host| routes.find(&host, request.path()).map(Rc::clone));
+    route.is_some_and(|route| route.rule().repeat == RepeatRule::Idempotent)
+}
+
 /// Reads the body of a request and finds its route; the error is the answer to the caller.
 async fn prepare<W, S>(
     core: &Rc<EdgeCore<W, S>>,
     request: &mut Request,
-    read_at: Moment,
+    arrived_at: Moment,
 ) -> Result<(Rc<RouteTable>, EdgeRequest), LocalAnswer>
 where
     W: EdgeWire,
@@ -86,7 +98,7 @@
     let route = routes.find(&host, request.path()).map(Rc::clone);
     let route = route.ok_or(LocalAnswer::NoRoute)?;
     let names = core.wire.headers();
-    let request = EdgeRequest::new(request.head(), body, &route, names, read_at);
+    let request = EdgeRequest::new(request.head(), body, &route, names, arrived_at);
     Ok((routes, request))
 }
 
--- a/crates/gate/src/forward.rs
+++ b/crates/gate/src/forward.rs
@@ -8,7 +8,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{Request, Response, StatusCode};
 use ggs_limit::AdmissionRefusal;
-use ggs_model::{Clock, HeaderNames, RunVerdict, ServiceName};
+use ggs_model::{Clock, HeaderNames, Moment, RunVerdict, ServiceName};
 use ggs_relay::{AnswerBody, RelayAnswer, RelayBody, RelayFailure, RelayLoop, RelayRequest};
 
 use crate::answer::{self, CallerFault};
@@ -59,12 +59,13 @@
     service_name: &str,
     target: &str,
     mut request: Request,
+    arrived_at: Moment,
 ) -> Response<GateBody> {
     let key = match keyed::read_key(&request.head().headers) {
         Ok(key) => key,
         Err(fault) => return answer::fault(fault),
     };
-    let admitted = admit(core, service_name, target, &mut request).await;
+    let admitted = admit(core, service_name, target, &mut request, arrived_at).await;
     match (admitted, key) {
         (Ok(admitted), None) => relay_unkeyed(core, admitted).await,
         (Ok(admitted), Some(key)) => keyed::serve(core, admitted, key).await,
@@ -87,8 +88,8 @@
     service_name: &str,
     target: &str,
     request: &mut Request,
+    received_at: Moment,
 ) -> Result<AdmittedRequest, AdmissionError> {
-    let received_at = core.clock.now();
     let service = core.service(service_name);
     let service = service.ok_or(CallerFault::UnknownService)?;
     service.record_request(received_at);
@@ -106,7 +107,7 @@
         service.metrics().count_refusal(reason);
         AdmissionError::Refused(refusal)
     })?;
-    let time_limit = parameters.deadline.since(received_at);
+    let time_limit = parameters.deadline.since(core.clock.now());
     let body = request::read_body(payload, core.settings.body_limit, time_limit).await?;
     let request = parameters.into_request(&document, &head, body);
     Ok(AdmittedRequest {
--- a/crates/gate/src/handle.rs
+++ b/crates/gate/src/handle.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ggs_listen::OpenConnections;
 use ggs_member::{GateRecord, GateState};
 use ggs_model::{GateId, Incarnation};
 use ggs_observe::{EventLog, LogEvent};
@@ -18,7 +19,7 @@
 use tokio::task::JoinHandle;
 
 use crate::core::GateCore;
-use crate::listen::{self, CallerConnections};
+use crate::listen;
 use crate::peers::{self, GatePeers};
 use crate::{documents, probes, servers};
 
@@ -58,7 +59,7 @@
 #[derive(Debug)]
 pub struct GateHandle {
     core: Rc<GateCore>,
-    connections: CallerConnections,
+    connections: OpenConnections,
     /// Stops the listener for callers.
     stop: watch::Sender<bool>,
     /// Tasks that are aborted once the drain is complete.
@@ -77,7 +78,7 @@
     let (peers, events) = GatePeers::start(record, peers);
     let core = GateCore::new(settings, peers, log);
     let (stop, stopped) = watch::channel(false);
-    let connections = CallerConnections::default();
+    let connections = OpenConnections::default();
     let tasks = vec![
         actix_rt::spawn(listen::accept(
             Rc::clone(&core),
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -9,7 +9,6 @@
 
 mod answer;
 mod body;
-mod caller;
 mod chooser;
 mod cli;
 mod command;
--- a/crates/gate/src/listen.rs
+++ b/crates/gate/src/listen.rs
@@ -1,21 +1,21 @@
-//! Accepts connections on the callers' port.
+//! Serves the requests of the callers' port.
 //!
 //! When the gate stops, no more connections are accepted, and the open ones finish the requests
 //! that they have read. The open connections are counted, so that a drain can wait for the last
 //! one.
 
-use std::cell::Cell;
-use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::{HttpService, KeepAlive, Request};
-use actix_service::{IntoServiceFactory, Service, ServiceFactory, fn_service};
+use actix_http::{Request, Response};
+use ggs_listen::{ListenError, ListenOptions, OpenConnections, RequestHandler, accept_connections};
+use ggs_model::Moment;
 use ggs_observe::LogEvent;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::caller::CallerStream;
+use crate::body::GateBody;
 use crate::core::GateCore;
 use crate::route;
 
@@ -25,26 +25,32 @@
 /// Time for which an idle connection of a caller is kept open.
 const CALLER_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Longest time for a connection to shut down.
+/// Longest time for which the caller's end of a closing connection is waited for.
 const DISCONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Pause after a failed accept, before the next one.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Answers the requests of callers and operators.
+struct GateHandler {
+    core: Rc<GateCore>,
+}
 
-/// Pause between two checks whether all connections of callers are closed.
-const CLOSED_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+impl RequestHandler for GateHandler {
+    type Body = GateBody;
 
-/// The number of open connections of callers, shared by their tasks.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct CallerConnections {
-    count: Rc<Cell<usize>>,
-}
+    async fn handle(self: Rc<Self>, request: Request, arrived_at: Moment) -> Response<GateBody> {
+        route::serve(&self.core, request, arrived_at).await
+    }
+
+    fn connection_opened(&self) {
+        self.core.metrics.caller_connections.inc();
+    }
 
-impl CallerConnections {
-    /// Waits until no connection is open.
-    pub(crate) async fn all_closed(&self) {
-        while self.count.get() > 0 {
-            tokio::time::sleep(CLOSED_CHECK_INTERVAL).await;
+    fn connection_ended(&self, caller: SocketAddr, result: &Result<(), ListenError>) {
+        self.core.metrics.caller_connections.dec();
+        if let Err(error) = result {
+            let pairs = slog::o!("caller" => caller.to_string(), "cause" => error.to_string());
+            let message = "caller connection failed";
+            let log = &self.core.log;
+            log.emit(LogEvent::CallerConnectionFailed, message, pairs);
         }
     }
 }
@@ -54,62 +60,18 @@
 pub(crate) async fn accept(
     core: Rc<GateCore>,
     listener: TcpListener,
-    connections: CallerConnections,
+    connections: OpenConnections,
     stop: watch::Receiver<bool>,
 ) {
-    let signal = stop.clone();
-    let routes = {
-        let core = Rc::clone(&core);
-        fn_service(move |request: Request| {
-            let core = Rc::clone(&core);
-            async move { Ok::<_, Infallible>(route::serve(&core, request).await) }
-        })
-    };
-    let factory = HttpService::build()
-        .keep_alive(KeepAlive::Timeout(CALLER_IDLE_TIMEOUT))
-        .client_request_timeout(REQUEST_HEAD_TIMEOUT)
-        .client_disconnect_timeout(DISCONNECT_TIMEOUT)
-        .graceful_shutdown_signal(move || wait_for_stop(signal.clone()))
-        .h1(routes.into_factory());
-    let Ok(service) = factory.new_service(()).await else {
-        return;
+    let options = ListenOptions {
+        idle_timeout: CALLER_IDLE_TIMEOUT,
+        head_timeout: REQUEST_HEAD_TIMEOUT,
+        // A caller that stops reading its answer would hold a request slot of a server.
+        stall_timeout: Duration::from_millis(core.settings.caller_stall_ms),
+        disconnect_timeout: DISCONNECT_TIMEOUT,
+        allow_half_closed: true,
+        ..ListenOptions::default()
     };
-    let service = Rc::new(service);
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            () = wait_for_stop(stop.clone()) => return,
-        };
-        let Ok((stream, peer)) = accepted else {
-            tokio::time::sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
-        };
-        // Without `TCP_NODELAY` the connection still works.
-        let _ = stream.set_nodelay(true);
-        connections.count.set(connections.count.get() + 1);
-        core.metrics.caller_connections.inc();
-        let (service, connections, core) =
-            (Rc::clone(&service), connections.clone(), Rc::clone(&core));
-        actix_rt::spawn(async move {
-            let stall_timeout = Duration::from_millis(core.settings.caller_stall_ms);
-            let stream = CallerStream::new(stream, stall_timeout);
-            let result = service.call((stream, Some(peer))).await;
-            if let Err(error) = result {
-                let pairs = slog::o!("caller" => peer.to_string(), "cause" => error.to_string());
-                core.log.emit(
-                    LogEvent::CallerConnectionFailed,
-                    "caller connection failed",
-                    pairs,
-                );
-            }
-            core.metrics.caller_connections.dec();
-            connections.count.set(connections.count.get() - 1);
-        });
-    }
-}
-
-/// Waits until `stop` turns true.
-async fn wait_for_stop(mut stop: watch::Receiver<bool>) {
-    // A dropped sender stops the listener too.
-    let _ = stop.wait_for(|stopped| *stopped).await;
+    let handler = Rc::new(GateHandler { core });
+    accept_connections(listener, options, connections, stop, handler).await;
 }
--- a/crates/gate/src/route.rs
+++ b/crates/gate/src/route.rs
@@ -6,17 +6,21 @@
 use std::rc::Rc;
 
 use actix_http::{ConnectionType, Method, Request, Response, StatusCode};
-use ggs_model::{HeaderNames, ServiceName};
+use ggs_model::{HeaderNames, Moment, ServiceName};
 
 use crate::answer::{self, CallerFault};
 use crate::body::GateBody;
 use crate::core::GateCore;
 use crate::{edits, entries, forward, key_issue, probes, status};
 
-/// Answers one request of a caller or an operator. Each answer names the gate's host, and closes
+/// Answers one request of a caller or an operator whose head had arrived at `arrived_at`. Each answer names the gate's host, and closes
 /// its connection if the gate is draining.
-pub(crate) async fn serve(core: &Rc<GateCore>, request: Request) -> Response<GateBody> {
-    let mut response = dispatch(core, request).await;
+pub(crate) async fn serve(
+    core: &Rc<GateCore>,
+    request: Request,
+    arrived_at: Moment,
+) -> Response<GateBody> {
+    let mut response = dispatch(core, request, arrived_at).await;
     answer::set_header(&mut response, HeaderNames::GATE, core.id.host.as_str());
     if core.is_draining() {
         response
@@ -27,7 +31,7 @@
 }
 
 /// Calls the handler for the path and method of a request.
-async fn dispatch(core: &Rc<GateCore>, request: Request) -> Response<GateBody> {
+async fn dispatch(core: &Rc<GateCore>, request: Request, arrived_at: Moment) -> Response<GateBody> {
     let uri = request.uri().clone();
     let path = uri.path();
     let is_get = request.method() == Method::GET;
@@ -42,7 +46,7 @@
         } else {
             format!("/{target}")
         };
-        return forward::serve(core, name, &target, request).await;
+        return forward::serve(core, name, &target, request, arrived_at).await;
     }
     match path.split('/').skip(1).collect::<Vec<_>>().as_slice() {
         ["v1", "entries", service] if is_get => entries::serve(core, service),
