Bound the memory for bodies, and stream answers that may never end

A server whose body has no length and no end took up to 8 MiB for each request before it failed: 100 callers took a gate from 6 to 78 MB, so a few such servers end a gate of 160 MB. Bodies of requests were bounded one by one only, and one that stalled was waited for without a limit.

All bodies that a gate holds, of requests and of answers, now come from one budget of 40% of memory_mb (ggs_limit::ByteBudget). A request whose body does not fit is refused with 503 and Retry-After before the body is read; 413 too is answered from the announced length. A body must arrive within the time of its request. An answer is always delivered: one that does not fit is streamed. A close-delimited answer is read whole up to 64 KiB, so that a short one that is cut can be retried, and streamed beyond; a break resets the connection of the caller.

A POST that followed an answer with bytes behind it got 502, as the bytes arrived after the request was sent. A connection is now reused for a request that is not idempotent only after a rest of 100 ms (the bytes may wait for the acknowledgement of the answer); the check before a reuse asks the system and not the runtime; and the connections of a server that sent such bytes are used once each for 10 s.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -24,6 +24,8 @@
     NoRoute,
     /// No configuration is known yet.
     NoConfig,
+    /// The gate holds as many bytes of bodies as it may; the request has not run.
+    NoMemory,
     /// No server is expected to answer in time, or none is left to try; the request has not run.
     NoCapacity,
     /// The deadline passed; the request has not run.
@@ -41,7 +43,9 @@
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
-            Self::NoConfig | Self::NoCapacity | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoConfig | Self::NoMemory | Self::NoCapacity | Self::LateUnsent => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
             Self::ServerFailed => StatusCode::BAD_GATEWAY,
         }
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -5,16 +5,20 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::header::CONTENT_ENCODING;
 use actix_http::{Method, ResponseHead, StatusCode};
 use bytes::Bytes;
+use ggs_limit::{ByteBudget, ByteLease};
 use ggs_model::{BootClock, Clock, RunVerdict};
 use ggs_place::{ListedServer, SendOutcome, ServerKey};
 use ggs_relay::{
-    AnswerFraming, FailureKind, RelayBody, ServerConnection, announced_size, read_whole,
+    AnswerFraming, BodyError, ConnectionReuse, FailureKind, RelayBody, ServerConnection,
+    announced_size, read_whole,
 };
+use ggs_route::RepeatRule;
 
 use crate::core::EdgeCore;
 use crate::ports::{EdgeWire, WireHeaders};
@@ -25,9 +29,14 @@
 /// send has failed and may be retried; longer bodies are streamed.
 const MAX_BUFFERED_BODY_BYTES: u64 = 1 << 20;
 
-/// Longest close-delimited body, which has neither a length nor chunks. It is read whole, as only
-/// the end of the connection shows that it was not cut short.
-const MAX_CLOSE_DELIMITED_BODY_BYTES: usize = 8 << 20;
+/// Longest close-delimited body, which has neither a length nor chunks, that is read whole before
+/// the answer is forwarded. Longer ones are streamed: they may never end.
+const MAX_CLOSE_DELIMITED_BODY_BYTES: usize = 64 << 10;
+
+/// Time for which a connection must have been idle before it is reused for a request that is not
+/// idempotent. Bytes that a server sends behind its answer by mistake arrive within it, even if they
+/// wait for the acknowledgement of the answer, and such a request could not be sent again.
+const MIN_REST: Duration = Duration::from_millis(100);
 
 /// Most late answers to earlier requests that are skipped on one connection.
 const MAX_LATE_ANSWERS_COUNT: u32 = 3;
@@ -44,8 +53,8 @@
 /// The body of a server's answer.
 #[derive(Debug)]
 pub(crate) enum AnswerBytes {
-    /// The whole body, already read.
-    Whole(Bytes),
+    /// The whole body, already read, and the memory that it takes; `None` if it is empty.
+    Whole(Bytes, Option<ByteLease>),
     /// A body that is still being received.
     Streamed(Box<RelayBody>),
 }
@@ -54,7 +63,7 @@
     /// The length in bytes; zero if it is not known.
     pub(crate) fn length(&self) -> u64 {
         match self {
-            Self::Whole(bytes) => bytes.len() as u64,
+            Self::Whole(bytes, _) => bytes.len() as u64,
             Self::Streamed(body) => match body.size() {
                 BodySize::Sized(length) => length,
                 BodySize::None | BodySize::Stream => 0,
@@ -193,9 +202,11 @@
             guard.set_outcome(failure.outcome());
             core.metrics
                 .count_send(service.name.as_str(), failure.outcome());
-            if failure.kind == FailureKind::ConnectionLost {
+            match failure.kind {
                 // The cause has often broken the other connections to this server too.
-                core.pool.discard_idle(server.address);
+                FailureKind::ConnectionLost => core.pool.discard_idle(server.address),
+                FailureKind::BadAnswer => core.pool.distrust(server.address, core.clock.now()),
+                _ => {}
             }
             Err(failure)
         }
@@ -215,7 +226,11 @@
     W: EdgeWire,
 {
     let names = core.wire.headers();
-    let reservation = core.pool.reserve(server.address, false, core.clock.now());
+    let reuse = match request.route.rule().repeat {
+        RepeatRule::Idempotent => ConnectionReuse::Any,
+        RepeatRule::AtMostOnce => ConnectionReuse::Rested(MIN_REST),
+    };
+    let reservation = core.pool.reserve(server.address, reuse, core.clock.now());
     let (permit, idle) = reservation.ok_or(SendFailure::unsent(FailureKind::NoConnection))?;
     let mut connection = match idle {
         Some(connection) => connection,
@@ -230,7 +245,7 @@
     progress.may_have_sent.set(true);
     let head = request.head_for(server, names, now);
     connection
-        .send(head, &request.body)
+        .send(head, &request.body.bytes)
         .await
         .map_err(|_| SendFailure::sent(FailureKind::ConnectionLost))?;
     let (connection, head) = read_matching_head(connection, request, names).await?;
@@ -255,15 +270,17 @@
         return Err(failure);
     }
     if framing == AnswerFraming::UntilClose {
-        let whole = connection.read_to_end(MAX_CLOSE_DELIMITED_BODY_BYTES).await;
-        let body = AnswerBytes::Whole(whole.map_err(SendFailure::sent)?);
+        let limit = request.deadline.since(core.clock.now());
+        let body = RelayBody::until_close(connection, permit, limit);
+        let body = read_close_delimited(&core.body_budget, body).await;
+        let body = body.map_err(|error| SendFailure::sent(error.kind))?;
         return Ok(EdgeAnswer { head, body });
     }
     if request.method == Method::HEAD || !connection.has_body() {
         if connection.is_reusable() && !connection.has_unread_bytes() {
             permit.put_back(connection, core.clock.now());
         }
-        let body = AnswerBytes::Whole(Bytes::new());
+        let body = AnswerBytes::Whole(Bytes::new(), None);
         return Ok(EdgeAnswer { head, body });
     }
     let size = announced_size(&head, true);
@@ -271,16 +288,36 @@
     // A streamed body may last until the caller gives up, even if that is after `answer_by`.
     let limit = request.deadline.since(core.clock.now());
     let mut body = RelayBody::new(connection, permit, reusable, size, limit, None);
-    if !matches!(size, BodySize::Sized(length) if length <= MAX_BUFFERED_BODY_BYTES) {
+    let length = match size {
+        BodySize::Sized(length) if length <= MAX_BUFFERED_BODY_BYTES => Some(length as usize),
+        _ => None,
+    };
+    // An answer that does not fit into memory is streamed: it is ready and must reach the caller.
+    let lease = length.and_then(|length| core.body_budget.take(length));
+    let Some(lease) = lease else {
         let body = AnswerBytes::Streamed(Box::new(body));
         return Ok(EdgeAnswer { head, body });
-    }
-    let whole = read_whole(&mut body).await;
+    };
+    let whole = read_whole(&mut body, lease.bytes()).await;
     let whole = whole.map_err(|error| SendFailure::sent(error.kind))?;
-    let body = AnswerBytes::Whole(whole);
+    let body = AnswerBytes::Whole(whole, Some(lease));
     Ok(EdgeAnswer { head, body })
 }
 
+/// Reads a close-delimited body if it is short and fits into memory. Only the end of its connection
+/// shows that it was not cut short, and a short one that was can then be retried.
+async fn read_close_delimited(
+    budget: &ByteBudget,
+    mut body: RelayBody,
+) -> Result<AnswerBytes, BodyError> {
+    if let Some(lease) = budget.take(MAX_CLOSE_DELIMITED_BODY_BYTES)
+        && let Some(bytes) = body.read_short(MAX_CLOSE_DELIMITED_BODY_BYTES).await?
+    {
+        return Ok(AnswerBytes::Whole(bytes, Some(lease)));
+    }
+    Ok(AnswerBytes::Streamed(Box::new(body)))
+}
+
 /// Reads the head of the answer to this request and skips late answers to earlier requests.
 ///
 /// Servers repeat the request id in their answers.
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -5,6 +5,7 @@
 
 use actix_http::body::{BodySize, MessageBody};
 use bytes::Bytes;
+use ggs_limit::ByteLease;
 use ggs_place::SendOutcome;
 use ggs_relay::{BodyError, RelayBody};
 
@@ -13,12 +14,23 @@
 /// The body of an answer to a caller.
 #[derive(Debug)]
 pub(crate) enum EdgeBody {
-    /// The whole body, `None` once it is taken, and its length in bytes.
-    Whole(Option<Bytes>, u64),
+    /// The whole body.
+    Whole(WholeBody),
     /// A body that is forwarded as it is received from the server.
     Streamed(StreamedBody),
 }
 
+/// A body of known bytes.
+#[derive(Debug)]
+pub(crate) struct WholeBody {
+    /// `None` once the bytes are taken.
+    bytes: Option<Bytes>,
+    /// Length in bytes.
+    length: u64,
+    /// The memory that the bytes take, until they are written.
+    _lease: Option<ByteLease>,
+}
+
 /// A body that is received from a server, with the guard of its send.
 #[derive(Debug)]
 pub(crate) struct StreamedBody {
@@ -30,8 +42,16 @@
 impl EdgeBody {
     /// A body of known bytes.
     pub(crate) fn whole(bytes: Bytes) -> Self {
-        let length = bytes.len() as u64;
-        Self::Whole(Some(bytes), length)
+        Self::leased(bytes, None)
+    }
+
+    /// A body of known bytes, with the memory that it takes.
+    pub(crate) fn leased(bytes: Bytes, lease: Option<ByteLease>) -> Self {
+        Self::Whole(WholeBody {
+            length: bytes.len() as u64,
+            bytes: Some(bytes),
+            _lease: lease,
+        })
     }
 }
 
@@ -40,7 +60,7 @@
 
     fn size(&self) -> BodySize {
         match self {
-            Self::Whole(_, length) => BodySize::Sized(*length),
+            Self::Whole(whole) => BodySize::Sized(whole.length),
             Self::Streamed(streamed) => streamed.body.size(),
         }
     }
@@ -50,8 +70,9 @@
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Bytes, BodyError>>> {
         match &mut *self {
-            Self::Whole(bytes, _) => {
-                Poll::Ready(bytes.take().filter(|bytes| !bytes.is_empty()).map(Ok))
+            Self::Whole(whole) => {
+                let bytes = whole.bytes.take();
+                Poll::Ready(bytes.filter(|bytes| !bytes.is_empty()).map(Ok))
             }
             Self::Streamed(streamed) => {
                 let polled = Pin::new(&mut streamed.body).poll_next(context);
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -447,6 +447,7 @@
         match source.read() {
             Ok(settings) if settings != *core.settings() => {
                 core.store.set_address(settings.store);
+                core.body_budget.set_limit(settings.body_bytes());
                 *core.settings.borrow_mut() = Rc::new(settings);
                 core.refresh_services(core.clock.now());
                 let message = "changed settings are in force";
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -11,7 +11,7 @@
 
 use actix_http::ServiceConfig;
 use foldhash::{HashMap, HashMapExt};
-use ggs_limit::{FleetRetries, ServerLimits};
+use ggs_limit::{ByteBudget, FleetRetries, ServerLimits};
 use ggs_member::{GateRecord, GateState, GroupCandidate, PeerPolicy, PeerTable};
 use ggs_model::{BootClock, Clock, GateId, Incarnation, Moment, ServiceName};
 use ggs_observe::{EventLog, LogEvent};
@@ -69,6 +69,8 @@
     pub(crate) clock: BootClock,
     /// Connections to servers.
     pub(crate) pool: ConnectionPool,
+    /// Bodies of requests and answers that are held in memory.
+    pub(crate) body_budget: ByteBudget,
     /// Configuration of the codec that reads answers of servers and gates.
     pub(crate) codec: ServiceConfig,
     /// Routes in force; `None` until the first configuration has been read.
@@ -127,6 +129,7 @@
             idle_timeout: IDLE_TIMEOUT,
             ..ConnectionOptions::default()
         };
+        let body_budget = ByteBudget::new(settings.body_bytes());
         Rc::new(Self {
             gates: RefCell::new(PeerTable::new(own_record(&settings), policy, now)),
             contacts: RefCell::new(GateContacts::default()),
@@ -138,6 +141,7 @@
             metrics: EdgeMetrics::new(),
             clock,
             pool: ConnectionPool::new(options),
+            body_budget,
             codec: ServiceConfig::default(),
             routes: RefCell::new(None),
             probes: RefCell::new(ProbeBucket::new(now)),
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use ggs_model::Clock;
 use ggs_place::{ListedServer, LoadSample, ServerKey};
-use ggs_relay::ServerConnection;
+use ggs_relay::{ConnectionReuse, ServerConnection};
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -112,7 +112,7 @@
     W: EdgeWire,
 {
     let now = core.clock.now();
-    let Some((permit, idle)) = core.pool.reserve(server.address, false, now) else {
+    let Some((permit, idle)) = core.pool.reserve(server.address, ConnectionReuse::Any, now) else {
         return ProbeResult::NoLoad;
     };
     let connection = match idle {
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -11,9 +11,11 @@
 use actix_http::{Method, Payload, Request, RequestHead, Uri};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
+use ggs_limit::{ByteBudget, ByteLease};
 use ggs_model::Moment;
 use ggs_place::ListedServer;
 use ggs_route::ActiveRoute;
+use tokio::time::timeout;
 
 use crate::ports::WireHeaders;
 
@@ -42,17 +44,28 @@
     BodyTooLong,
     /// Its body was cut short or malformed.
     BadBody,
+    /// Its body did not arrive in time.
+    SlowBody,
+    /// Its body does not fit into the memory that the gate may use.
+    NoMemory,
+}
+
+/// The body of a caller's request, with the memory that it takes.
+#[derive(Debug)]
+pub(crate) struct HeldBody {
+    pub(crate) bytes: Bytes,
+    _lease: ByteLease,
 }
 
 /// A caller's request.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct EdgeRequest {
     pub(crate) method: Method,
     /// Path and query, as the caller sent them.
     pub(crate) target: Uri,
     /// End-to-end headers, which are forwarded to servers.
     headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: HeldBody,
     pub(crate) route: Rc<ActiveRoute>,
     /// When the gate had read its head.
     pub(crate) read_at: Moment,
@@ -67,13 +80,13 @@
     /// A request on `route` whose head was read at `now`.
     pub(crate) fn new(
         head: &RequestHead,
-        body: Bytes,
+        body: HeldBody,
         route: &Rc<ActiveRoute>,
         names: &WireHeaders,
         now: Moment,
     ) -> Self {
         let timeout = route.rule().timeout;
-        let requested = read_millis(&head.headers, &names.deadline).unwrap_or(timeout);
+        let requested = requested_time(head, route, names);
         Self {
             method: head.method.clone(),
             target: head.uri.clone(),
@@ -111,18 +124,63 @@
     }
 }
 
-/// Reads the whole body, which may have at most `limit` bytes.
-pub(crate) async fn read_body(request: &mut Request, limit: usize) -> Result<Bytes, RequestFault> {
+/// Time that the caller waits for its answer: that in its deadline header or, without one, the
+/// route's timeout.
+pub(crate) fn requested_time(
+    head: &RequestHead,
+    route: &ActiveRoute,
+    names: &WireHeaders,
+) -> Duration {
+    let requested = read_millis(&head.headers, &names.deadline);
+    requested.unwrap_or(route.rule().timeout)
+}
+
+/// Reads the whole body, which may have at most `limit` bytes, and must arrive within `time`.
+///
+/// A body whose head says that it is too long, or for which there is no memory, is not read at all.
+pub(crate) async fn read_body(
+    request: &mut Request,
+    limit: usize,
+    budget: &ByteBudget,
+    time: Duration,
+) -> Result<HeldBody, RequestFault> {
+    let announced = announced_bytes(&request.head().headers);
+    if announced > limit as u64 {
+        return Err(RequestFault::BodyTooLong);
+    }
+    let lease = budget.take(announced as usize);
+    let mut lease = lease.ok_or(RequestFault::NoMemory)?;
     let mut payload: Payload = request.take_payload();
-    let mut whole = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk.map_err(|_: PayloadError| RequestFault::BadBody)?;
-        if whole.len() + chunk.len() > limit {
-            return Err(RequestFault::BodyTooLong);
+    let mut whole = BytesMut::with_capacity(announced as usize);
+    let read = async {
+        while let Some(chunk) = payload.next().await {
+            let chunk = chunk.map_err(|_: PayloadError| RequestFault::BadBody)?;
+            if whole.len() + chunk.len() > limit {
+                return Err(RequestFault::BodyTooLong);
+            }
+            whole.reserve(chunk.len());
+            if !lease.grow_to(whole.capacity().min(limit)) {
+                return Err(RequestFault::NoMemory);
+            }
+            whole.extend_from_slice(&chunk);
         }
-        whole.extend_from_slice(&chunk);
-    }
-    Ok(whole.freeze())
+        Ok(())
+    };
+    let read = timeout(time, read).await;
+    read.unwrap_or(Err(RequestFault::SlowBody))?;
+    Ok(HeldBody {
+        bytes: whole.freeze(),
+        _lease: lease,
+    })
+}
+
+/// Length of the body as the head of its request states it; zero if it does not.
+fn announced_bytes(headers: &HeaderMap) -> u64 {
+    let length = headers.get(header::CONTENT_LENGTH);
+    let length = length.and_then(|value| value.to_str().ok());
+    length
+        .and_then(|text| text.trim().parse().ok())
+        .unwrap_or(0)
 }
 
 /// The headers without the hop-by-hop ones.
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -22,7 +22,7 @@
 use crate::core::EdgeCore;
 use crate::placement::place_request;
 use crate::ports::EdgeWire;
-use crate::request::{EdgeRequest, RequestFault, end_to_end_headers, read_body};
+use crate::request::{EdgeRequest, RequestFault, end_to_end_headers, read_body, requested_time};
 use crate::service::ServiceState;
 use crate::span::RequestSpan;
 
@@ -30,8 +30,9 @@
 /// server, or may have, count towards the `attempts` of the route.
 const MAX_SENDS_COUNT: usize = 6;
 
-/// Time after which a caller may retry if the gate has no configuration yet.
-const NO_CONFIG_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Time after which a caller may retry if the gate has no configuration yet, or no memory for the
+/// body of its request: within it, some of the bodies that the gate holds have been sent.
+const UNREAD_RETRY_AFTER: Duration = Duration::from_millis(250);
 
 /// Time after which a caller may retry if its request failed after a server was chosen for it.
 const FAILED_RETRY_AFTER: Duration = Duration::from_millis(40);
@@ -54,7 +55,10 @@
             span.end(response.status());
             response
         }
-        Err(answer) => answer.response(NO_CONFIG_RETRY_AFTER),
+        Err(answer) => {
+            core.log_unread_request(&request, answer);
+            answer.response(UNREAD_RETRY_AFTER)
+        }
     };
     if core.is_draining() {
         let head = response.head_mut();
@@ -84,24 +88,34 @@
 where
     W: EdgeWire,
 {
-    let host = read_host(request).map_err(|_| LocalAnswer::BadRequest)?;
+    let host = read_host(request)?;
     let routes = core.routes().ok_or(LocalAnswer::NoConfig)?;
+    let route = routes.find(&host, request.path()).map(Rc::clone);
+    let route = route.ok_or(LocalAnswer::NoRoute)?;
+    let names = core.wire.headers();
+    let time = requested_time(request.head(), &route, names).min(route.rule().timeout);
+    let time_left = (arrived_at + time).since(core.clock.now());
     let limit = routes.limits().body_bytes;
-    let body = read_body(request, limit)
-        .await
-        .map_err(|fault| match fault {
-            RequestFault::BodyTooLong => LocalAnswer::BodyTooLong,
-            RequestFault::NoHost | RequestFault::BadBody => LocalAnswer::BadRequest,
-        })?;
+    let body = read_body(request, limit, &core.body_budget, time_left).await?;
     // Use the newest configuration: another may have come into force while the body was read.
     let routes = core.routes().unwrap_or(routes);
     let route = routes.find(&host, request.path()).map(Rc::clone);
     let route = route.ok_or(LocalAnswer::NoRoute)?;
-    let names = core.wire.headers();
     let request = EdgeRequest::new(request.head(), body, &route, names, arrived_at);
     Ok((routes, request))
 }
 
+impl From<RequestFault> for LocalAnswer {
+    fn from(fault: RequestFault) -> Self {
+        match fault {
+            RequestFault::NoHost | RequestFault::BadBody => Self::BadRequest,
+            RequestFault::BodyTooLong => Self::BodyTooLong,
+            RequestFault::NoMemory => Self::NoMemory,
+            RequestFault::SlowBody => Self::LateUnsent,
+        }
+    }
+}
+
 /// The host from the `Host` header or, without one, from the request target.
 fn read_host(request: &Request) -> Result<String, RequestFault> {
     let host = request.headers().get(HOST);
@@ -308,7 +322,7 @@
         return LocalAnswer::ServerFailed.response(Duration::ZERO);
     }
     let body = match answer.body {
-        AnswerBytes::Whole(bytes) => EdgeBody::whole(bytes),
+        AnswerBytes::Whole(bytes, lease) => EdgeBody::leased(bytes, lease),
         AnswerBytes::Streamed(body) => EdgeBody::Streamed(StreamedBody { body, guard }),
     };
     let mut response = Response::with_body(status, body);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -48,6 +48,8 @@
     pub new_fleet: bool,
     /// CPU share of the host, in cores.
     pub cpu_share: f64,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: u64,
     /// Bandwidth of the host's own link, in megabits per second.
     pub link_mbps: f64,
     /// Address of the platform's store.
@@ -65,7 +67,16 @@
 /// use.
 const UNIT_LINK_MBPS: f64 = 10.0;
 
+/// Percentage of the memory of the process for bodies of requests and answers. The rest is for the
+/// program, its connections and what the system holds of unread bytes.
+const BODY_MEMORY_PERCENT: u64 = 40;
+
 impl EdgeSettings {
+    /// Bytes of request bodies and answers that the gate may hold at a time.
+    pub fn body_bytes(&self) -> usize {
+        (self.memory_bytes / 100 * BODY_MEMORY_PERCENT) as usize
+    }
+
     /// Size of the host as a multiple of the smallest host, by its scarcer resource; at least one.
     pub fn capacity(&self) -> u32 {
         let multiple = (self.cpu_share / UNIT_CPU_SHARE).min(self.link_mbps / UNIT_LINK_MBPS);
--- a/crates/edge/src/span.rs
+++ b/crates/edge/src/span.rs
@@ -5,12 +5,13 @@
 
 use std::cell::{Cell, RefCell};
 
-use actix_http::StatusCode;
+use actix_http::{Request, StatusCode};
 use ggs_model::Clock;
 use ggs_observe::LogEvent;
 use ggs_place::Placement;
 use ggs_relay::FailureKind;
 
+use crate::answer::LocalAnswer;
 use crate::core::EdgeCore;
 use crate::placement::PlacementRefusal;
 use crate::ports::EdgeWire;
@@ -139,6 +140,32 @@
     }
 }
 
+impl<W, S> EdgeCore<W, S>
+where
+    W: EdgeWire,
+{
+    /// Logs that a request was answered before its body was read, unless it had none to read.
+    pub(crate) fn log_unread_request(&self, request: &Request, answer: LocalAnswer) {
+        if !matches!(
+            answer,
+            LocalAnswer::BodyTooLong | LocalAnswer::NoMemory | LocalAnswer::LateUnsent
+        ) {
+            return;
+        }
+        let id = &self.wire.headers().request_id;
+        let id = request.head().headers.get(id);
+        let id = id.and_then(|value| value.to_str().ok()).unwrap_or_default();
+        let pairs = slog::o!(
+            "request" => id.to_owned(),
+            "cause" => answer.to_string(),
+            "status" => answer.status().as_u16(),
+            "held_bytes" => self.body_budget.held(),
+        );
+        let message = "request answered before its body was read";
+        self.log.emit(LogEvent::BodyNotRead, message, pairs);
+    }
+}
+
 impl<W, S> Drop for RequestSpan<'_, W, S> {
     fn drop(&mut self) {
         if self.ended.get() {
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -5,11 +5,13 @@
 //! - [`AdmissionLimits`]: requests in flight at one gate, bounded so that overload by one partner
 //!   or one class of request leaves capacity for the others.
 //! - [`ConnectionShare`]: connections that one gate may hold to a server.
+//! - [`ByteBudget`]: bytes of bodies that one process holds in memory.
 //! - [`ServerLimits`]: limits that servers name for all gates together.
 //!
 //! All are plain values: they read no clock and do no I/O.
 
 mod admission;
+mod bytes;
 mod chain_retries;
 mod fleet_retries;
 mod server_limits;
@@ -19,6 +21,7 @@
     AdmissionLimits, AdmissionPermit, AdmissionRefusal, AdmissionRequest, GateCapacity,
     RefusalCause,
 };
+pub use bytes::{ByteBudget, ByteLease};
 pub use chain_retries::{ChainPosition, ChainRetries};
 pub use fleet_retries::FleetRetries;
 pub use server_limits::{LimitChange, LimitState, NamedLimit, ServerLimits};
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -86,6 +86,9 @@
     RequestRefused = 404,
     /// A caller disconnected before its request had a final answer.
     CallerLeft = 405,
+    /// A request was answered before its body was read: the body is too long, does not fit into the
+    /// memory of the gate, or did not arrive in time.
+    BodyNotRead = 406,
     /// A heartbeat arrived from a gate that is new or was unreachable.
     GateJoined = 500,
     /// Another gate announced that it stops.
@@ -145,6 +148,7 @@
             | Self::AttemptFailed
             | Self::RequestRefused
             | Self::CallerLeft
+            | Self::BodyNotRead
             | Self::DocumentsFresh
             | Self::PlatformRecovered
             | Self::ServerLeaving
--- a/crates/relay/src/body.rs
+++ b/crates/relay/src/body.rs
@@ -4,22 +4,27 @@
 //! answer can't be taken for the next one.
 
 use std::fmt;
+use std::future::poll_fn;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::h1::ClientPayloadCodec;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::Stream;
 use ggs_model::{BootClock, Clock, Moment};
 use tokio::net::TcpStream;
 use tokio::time::{Instant, Sleep};
 use tokio_util::codec::Framed;
+use tokio_util::io::poll_read_buf;
 
 use crate::pool::ConnectionPermit;
 use crate::{FailureKind, ServerConnection};
 
+/// Longest part that is read at a time of a body that ends with its connection, in bytes.
+const MAX_PART_BYTES: usize = 16 << 10;
+
 /// Failure of a body that ended before it was complete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct BodyError {
@@ -47,10 +52,50 @@
 }
 
 /// The connection that a body is read from, with its permit.
-struct BodySource {
-    framed: Framed<TcpStream, ClientPayloadCodec>,
-    permit: ConnectionPermit,
-    reusable: bool,
+enum BodySource {
+    /// A body whose end is marked by its length or its last chunk.
+    Marked {
+        framed: Framed<TcpStream, ClientPayloadCodec>,
+        permit: ConnectionPermit,
+        reusable: bool,
+    },
+    /// A body that ends with its connection.
+    UntilClose {
+        stream: TcpStream,
+        /// Bytes that have been read already.
+        prefix: BytesMut,
+        _permit: ConnectionPermit,
+    },
+}
+
+impl BodySource {
+    /// Polls for the next part; `None` at the end of the body.
+    fn poll_part(&mut self, context: &mut Context<'_>) -> Poll<Result<Option<Bytes>, FailureKind>> {
+        match self {
+            Self::Marked { framed, .. } => {
+                let polled = Pin::new(framed).poll_next(context);
+                polled.map(|part| match part {
+                    Some(Ok(part)) => Ok(part),
+                    Some(Err(_)) | None => Err(FailureKind::ConnectionLost),
+                })
+            }
+            Self::UntilClose { stream, prefix, .. } => {
+                if prefix.is_empty() {
+                    prefix.reserve(MAX_PART_BYTES);
+                    let read = poll_read_buf(Pin::new(stream), context, prefix);
+                    match read {
+                        Poll::Pending => return Poll::Pending,
+                        Poll::Ready(Ok(0)) => return Poll::Ready(Ok(None)),
+                        Poll::Ready(Ok(_)) => {}
+                        Poll::Ready(Err(_)) => {
+                            return Poll::Ready(Err(FailureKind::ConnectionLost));
+                        }
+                    }
+                }
+                Poll::Ready(Ok(Some(prefix.split().freeze())))
+            }
+        }
+    }
 }
 
 impl fmt::Debug for RelayBody {
@@ -78,7 +123,7 @@
             .map_codec(actix_http::h1::ClientCodec::into_payload_codec);
         let timer = Box::pin(tokio::time::sleep(idle_timeout.unwrap_or(limit)));
         Self {
-            source: Some(BodySource {
+            source: Some(BodySource::Marked {
                 framed,
                 permit,
                 reusable,
@@ -89,21 +134,63 @@
         }
     }
 
+    /// Creates a body that ends with its connection, and must end within `limit` from now. A
+    /// connection that breaks leaves it incomplete.
+    pub fn until_close(
+        connection: ServerConnection,
+        permit: ConnectionPermit,
+        limit: Duration,
+    ) -> Self {
+        let parts = connection.framed.into_parts();
+        Self {
+            source: Some(BodySource::UntilClose {
+                stream: parts.io,
+                prefix: parts.read_buf,
+                _permit: permit,
+            }),
+            size: BodySize::Stream,
+            timer: Box::pin(tokio::time::sleep(limit)),
+            idle_timeout: None,
+        }
+    }
+
+    /// Reads until the body ends or more than `limit` bytes have been read. Returns the bytes of a
+    /// body that has ended; `None` if it goes on, with what has been read as its beginning. Only for
+    /// bodies that end with their connection.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the body is incomplete.
+    pub async fn read_short(&mut self, limit: usize) -> Result<Option<Bytes>, BodyError> {
+        let mut whole = BytesMut::new();
+        while whole.len() <= limit {
+            match poll_fn(|context| Pin::new(&mut *self).poll_next(context)).await {
+                None => return Ok(Some(whole.freeze())),
+                Some(part) => whole.extend_from_slice(&part?),
+            }
+        }
+        if let Some(BodySource::UntilClose { prefix, .. }) = &mut self.source {
+            *prefix = whole;
+        }
+        Ok(None)
+    }
+
     /// Returns the connection to its pool after a complete body, if it can be reused.
     fn complete(&mut self) {
-        let Some(source) = self.source.take() else {
+        let Some(BodySource::Marked {
+            framed,
+            permit,
+            reusable,
+        }) = self.source.take()
+        else {
             return;
         };
-        if !source.reusable || !source.framed.read_buffer().is_empty() {
+        if !reusable || !framed.read_buffer().is_empty() {
             return;
         }
-        let framed = source
-            .framed
-            .map_codec(ClientPayloadCodec::into_message_codec);
+        let framed = framed.map_codec(ClientPayloadCodec::into_message_codec);
         let now: Moment = BootClock.now();
-        source
-            .permit
-            .put_back(ServerConnection::from_framed(framed), now);
+        permit.put_back(ServerConnection::from_framed(framed), now);
     }
 
     /// Ends the body with an error and closes the connection.
@@ -128,18 +215,18 @@
         let Some(source) = this.source.as_mut() else {
             return Poll::Ready(None);
         };
-        match Pin::new(&mut source.framed).poll_next(context) {
-            Poll::Ready(Some(Ok(Some(chunk)))) => {
+        match source.poll_part(context) {
+            Poll::Ready(Ok(Some(chunk))) => {
                 if let Some(idle_timeout) = this.idle_timeout {
                     this.timer.as_mut().reset(Instant::now() + idle_timeout);
                 }
                 Poll::Ready(Some(Ok(chunk)))
             }
-            Poll::Ready(Some(Ok(None))) => {
+            Poll::Ready(Ok(None)) => {
                 this.complete();
                 Poll::Ready(None)
             }
-            Poll::Ready(Some(Err(_)) | None) => this.fail(FailureKind::ConnectionLost),
+            Poll::Ready(Err(kind)) => this.fail(kind),
             Poll::Pending => match this.timer.as_mut().poll(context) {
                 Poll::Ready(()) => this.fail(FailureKind::AnswerTimeout),
                 Poll::Pending => Poll::Pending,
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -15,8 +15,8 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{SinkExt, StreamExt};
 use ggs_model::{HeaderNames, Moment};
-use rustix::net::sockopt;
-use tokio::io::AsyncReadExt;
+use rustix::io::Errno;
+use rustix::net::{RecvFlags, recv, sockopt};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
@@ -53,6 +53,21 @@
     Ok(())
 }
 
+/// What the codec of a server connection encodes.
+type OutputMessage = Message<(RequestHeadType, BodySize)>;
+
+/// What a write to a server waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OutputPoll {
+    /// Room in the buffer.
+    Ready,
+    /// An empty buffer.
+    Flushed,
+}
+
+/// Longest part of a request's body that is copied into the buffer of a connection, in bytes.
+const MAX_BODY_PART_BYTES: usize = 32 << 10;
+
 impl Default for ConnectionOptions {
     fn default() -> Self {
         Self {
@@ -64,6 +79,17 @@
     }
 }
 
+/// The state of a connection between two requests.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum IdleState {
+    /// It is open, and nothing has arrived.
+    Usable,
+    /// It is closed.
+    Closed,
+    /// Bytes have arrived that belong to no request.
+    HasBytes,
+}
+
 /// A connection to a server that carries one request after another.
 #[derive(Debug)]
 pub struct ServerConnection {
@@ -132,13 +158,18 @@
         self.idle_since.is_some()
     }
 
-    /// Whether a connection between two requests can still be used: it must be open and have no
-    /// unread bytes.
-    pub fn is_open_and_idle(&self) -> bool {
+    /// Whether a connection between two requests can still be used.
+    pub(crate) fn idle_state(&self) -> IdleState {
+        if !self.framed.read_buffer().is_empty() {
+            return IdleState::HasBytes;
+        }
         let mut byte = [0_u8; 1];
-        let read = self.framed.get_ref().try_read(&mut byte);
-        let would_block = matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock);
-        would_block && self.framed.read_buffer().is_empty()
+        // Asks the system, as the runtime learns of new bytes only after the current task.
+        match recv(self.framed.get_ref(), &mut byte, RecvFlags::DONTWAIT) {
+            Err(Errno::WOULDBLOCK) => IdleState::Usable,
+            Ok((count, _)) if count > 0 => IdleState::HasBytes,
+            Ok(_) | Err(_) => IdleState::Closed,
+        }
     }
 
     /// Sends a request as one attempt and reads the head of its answer.
@@ -188,24 +219,41 @@
         let size = body_size(body, &head.method);
         let head = RequestHeadType::Owned(head);
         self.framed.feed(Message::Item((head, size))).await?;
-        if !body.is_empty() {
-            self.framed
-                .feed(Message::Chunk(Some(Bytes::clone(body))))
-                .await?;
+        let mut rest = body.clone();
+        while !rest.is_empty() {
+            if !self.poll_sendable(OutputPoll::Ready).await? {
+                return Ok(());
+            }
+            let part = rest.split_to(rest.len().min(MAX_BODY_PART_BYTES));
+            let message: OutputMessage = Message::Chunk(Some(part));
+            self.framed.start_send_unpin(message)?;
         }
-        let flushed = poll_fn(|context| {
-            let flush = SinkExt::<Message<(RequestHeadType, BodySize)>>::poll_flush_unpin;
-            if let Poll::Ready(flushed) = flush(&mut self.framed, context) {
-                return Poll::Ready(flushed.map(|()| true));
+        self.poll_sendable(OutputPoll::Flushed).await?;
+        Ok(())
+    }
+
+    /// Waits until more can be written, or all is written. Returns false, and gives up on the rest
+    /// of the request, if the server answers first, as it may never read the rest.
+    async fn poll_sendable(&mut self, goal: OutputPoll) -> io::Result<bool> {
+        let sendable = poll_fn(|context| {
+            let polled = match goal {
+                OutputPoll::Ready => {
+                    SinkExt::<OutputMessage>::poll_ready_unpin(&mut self.framed, context)
+                }
+                OutputPoll::Flushed => {
+                    SinkExt::<OutputMessage>::poll_flush_unpin(&mut self.framed, context)
+                }
+            };
+            if let Poll::Ready(result) = polled {
+                return Poll::Ready(result.map(|()| true));
             }
-            // Stop writing once the server answers: it may never read the rest of the body.
             self.framed
                 .get_ref()
                 .poll_read_ready(context)
                 .map_ok(|()| false)
         });
-        self.request_fully_sent = flushed.await?;
-        Ok(())
+        self.request_fully_sent = sendable.await?;
+        Ok(self.request_fully_sent)
     }
 
     /// Reads the head of the next answer.
@@ -239,25 +287,6 @@
         !self.framed.read_buffer().is_empty()
     }
 
-    /// Reads the body of an answer that ends with its connection.
-    ///
-    /// # Errors
-    ///
-    /// Fails if the connection breaks, which leaves the body incomplete, or if the body is longer
-    /// than `limit` bytes.
-    pub async fn read_to_end(self, limit: usize) -> Result<Bytes, FailureKind> {
-        let parts = self.framed.into_parts();
-        let (mut stream, mut body) = (parts.io, parts.read_buf);
-        while body.len() <= limit {
-            match stream.read_buf(&mut body).await {
-                Ok(0) => return Ok(body.freeze()),
-                Ok(_) => {}
-                Err(_) => return Err(FailureKind::ConnectionLost),
-            }
-        }
-        Err(FailureKind::BadAnswer)
-    }
-
     /// Reads the complete body of an answer and closes the connection.
     ///
     /// # Errors
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,7 +20,7 @@
 pub use body::{BodyError, RelayBody};
 pub use connection::{AnswerFraming, ConnectionOptions, ServerConnection};
 pub use failure::{AttemptFailure, FailureKind, RelayFailure};
-pub use pool::{ConnectionPermit, ConnectionPool};
+pub use pool::{ConnectionPermit, ConnectionPool, ConnectionReuse};
 pub use relay::{AttemptGuard, RelayAnswer, RelayLoop, RetryBudget};
 pub use request::{BodyTimeout, RelayRequest};
 pub use retry::{NextStep, RetryContext, next_step};
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -6,12 +6,18 @@
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use foldhash::{HashMap, HashMapExt};
 use ggs_model::Moment;
 
+use crate::connection::IdleState;
 use crate::{ConnectionOptions, ServerConnection};
 
+/// Time for which the connections of a server are used once each after it sent bytes that belong to
+/// no request: the next such bytes may arrive after a connection has been reused.
+const DISTRUST_TIME: Duration = Duration::from_secs(10);
+
 /// Connections to one address.
 #[derive(Debug, Default)]
 struct AddressEntry {
@@ -19,6 +25,34 @@
     idle: Vec<ServerConnection>,
     /// Number of connections in use.
     busy: usize,
+    /// Until when no connection is reused.
+    distrusted_until: Moment,
+}
+
+impl AddressEntry {
+    /// Takes an idle connection that may be reused: the most recently used, or the longest idle one
+    /// if it must have rested.
+    fn take_idle(&mut self, reuse: ConnectionReuse, now: Moment) -> Option<ServerConnection> {
+        match reuse {
+            ConnectionReuse::Never => None,
+            ConnectionReuse::Any => self.idle.pop(),
+            ConnectionReuse::Rested(time) => {
+                let since = self.idle.first()?.idle_since?;
+                (now.since(since) >= time).then(|| self.idle.remove(0))
+            }
+        }
+    }
+}
+
+/// Which idle connections may be reused for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionReuse {
+    /// None: a new one must be opened.
+    Never,
+    /// Any.
+    Any,
+    /// Those that have been idle for this time.
+    Rested(Duration),
 }
 
 /// State shared by the pool's clones and the permits it has issued.
@@ -84,13 +118,13 @@
 
     /// Reserves a connection to `address`; `None` if the limit's connections are all in use.
     ///
-    /// Returns an idle connection together with the permit, if one is still usable and
-    /// `new_connection` is not set. Otherwise the holder of the permit may open a connection; if
+    /// Returns an idle connection together with the permit, if one is still usable and `reuse` allows
+    /// it. Otherwise the holder of the permit may open a connection; if
     /// that would exceed the limit, the pool first closes an idle one.
     pub fn reserve(
         &self,
         address: SocketAddr,
-        new_connection: bool,
+        reuse: ConnectionReuse,
         now: Moment,
     ) -> Option<(ConnectionPermit, Option<ServerConnection>)> {
         let limit = self.connection_limit(address);
@@ -102,11 +136,18 @@
             now.since(since) <= idle_timeout
         });
         let mut reused = None;
-        while !new_connection && reused.is_none() {
-            let Some(connection) = entry.idle.pop() else {
+        while reused.is_none() {
+            let Some(connection) = entry.take_idle(reuse, now) else {
                 break;
             };
-            reused = Some(connection).filter(ServerConnection::is_open_and_idle);
+            match connection.idle_state() {
+                IdleState::Usable => reused = Some(connection),
+                IdleState::Closed => {}
+                IdleState::HasBytes => {
+                    entry.idle.clear();
+                    entry.distrusted_until = now + DISTRUST_TIME;
+                }
+            }
         }
         if reused.is_none() && entry.busy + entry.idle.len() >= limit {
             // Close the connection that has been idle longest.
@@ -134,6 +175,15 @@
         }
     }
 
+    /// Closes the idle connections to `address`, and reuses none of its connections for some time, as
+    /// the server sent bytes that belong to no request.
+    pub fn distrust(&self, address: SocketAddr, now: Moment) {
+        if let Some(entry) = self.state.entries.borrow_mut().get_mut(&address) {
+            entry.idle.clear();
+            entry.distrusted_until = now + DISTRUST_TIME;
+        }
+    }
+
     /// Number of connections to `address`, both idle and in use.
     pub fn connection_count(&self, address: SocketAddr) -> usize {
         let entries = self.state.entries.borrow();
@@ -149,9 +199,9 @@
         self.state.entries.borrow_mut().retain(|_, entry| {
             entry.idle.retain(|connection| {
                 let since = connection.idle_since.unwrap_or(now);
-                now.since(since) <= idle_timeout && connection.is_open_and_idle()
+                now.since(since) <= idle_timeout && connection.idle_state() == IdleState::Usable
             });
-            entry.busy > 0 || !entry.idle.is_empty()
+            entry.busy > 0 || !entry.idle.is_empty() || now < entry.distrusted_until
         });
     }
 }
@@ -171,6 +221,7 @@
         let limit = self.pool.connection_limit(self.address);
         let mut entries = self.pool.state.entries.borrow_mut();
         if let Some(entry) = entries.get_mut(&self.address)
+            && now >= entry.distrusted_until
             && entry.busy + entry.idle.len() <= limit
         {
             entry.idle.push(connection);
--- a/crates/relay/src/transport.rs
+++ b/crates/relay/src/transport.rs
@@ -16,15 +16,15 @@
 
 use crate::connection::AttemptMetadata;
 use crate::{
-    AttemptFailure, BodyTimeout, ConnectionPool, FailureKind, RelayBody, RelayRequest,
-    ServerConnection,
+    AttemptFailure, BodyError, BodyTimeout, ConnectionPool, ConnectionReuse, FailureKind,
+    RelayBody, RelayRequest, ServerConnection,
 };
 
 /// Longest body that is read completely before its head goes to the caller.
 ///
 /// If such a body is cut short, the attempt fails and may be retried. A longer body, or one of
 /// unknown length, is streamed; if it is cut short, the transfer to the caller is aborted.
-const MAX_BUFFERED_BODY_BYTES: u64 = 64 * 1024;
+const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
 
 /// Settings of one attempt.
 #[derive(Clone, Copy, Debug)]
@@ -103,7 +103,12 @@
         stage: &Cell<AttemptStage>,
     ) -> Result<ServerAnswer<RelayBody>, AttemptFailure> {
         let now = BootClock.now();
-        let reserved = self.pool.reserve(server.address, plan.new_connection, now);
+        let reuse = if plan.new_connection {
+            ConnectionReuse::Never
+        } else {
+            ConnectionReuse::Any
+        };
+        let reserved = self.pool.reserve(server.address, reuse, now);
         let (permit, idle) = reserved.ok_or(AttemptFailure::unsent(FailureKind::NoConnection))?;
         let mut connection = match idle {
             Some(connection) => connection,
@@ -153,13 +158,13 @@
             limit,
             idle_timeout,
         );
-        if !matches!(size, BodySize::Sized(length) if length <= MAX_BUFFERED_BODY_BYTES) {
+        if !matches!(size, BodySize::Sized(length) if length <= MAX_BUFFERED_BODY_BYTES as u64) {
             return Ok(ServerAnswer {
                 head,
                 body: AnswerBody::Streamed(body),
             });
         }
-        let whole = read_whole(&mut body).await;
+        let whole = read_whole(&mut body, MAX_BUFFERED_BODY_BYTES).await;
         let whole = whole.map_err(|error| AttemptFailure {
             kind: error.kind,
             sent: true,
@@ -232,24 +237,35 @@
     length.map_or(BodySize::Stream, BodySize::Sized)
 }
 
-/// Reads a body to its end; a body of a single chunk is not copied.
+/// Reads a body of at most `limit` bytes to its end; a body of a single chunk is not copied.
 ///
 /// # Errors
 ///
-/// Returns the body's error if it ends early.
-pub async fn read_whole<B>(body: &mut B) -> Result<Bytes, B::Error>
+/// Returns the body's error if it ends early, and [`FailureKind::BadAnswer`] if it is longer.
+pub async fn read_whole<B>(body: &mut B, limit: usize) -> Result<Bytes, BodyError>
 where
-    B: MessageBody + Unpin,
+    B: MessageBody<Error = BodyError> + Unpin,
 {
+    let expected = match body.size() {
+        BodySize::Sized(length) => length.min(limit as u64) as usize,
+        BodySize::None | BodySize::Stream => 0,
+    };
     let mut body = pin!(body);
+    let mut length = 0;
     let mut whole = BytesMut::new();
     let mut first: Option<Bytes> = None;
     while let Some(chunk) = poll_fn(|context| body.as_mut().poll_next(context)).await {
         let chunk = chunk?;
+        length += chunk.len();
+        if length > limit {
+            let kind = FailureKind::BadAnswer;
+            return Err(BodyError { kind });
+        }
         match first.take() {
             None if whole.is_empty() => first = Some(chunk),
             None => whole.extend_from_slice(&chunk),
             Some(earlier) => {
+                whole.reserve(expected.max(length));
                 whole.extend_from_slice(&earlier);
                 whole.extend_from_slice(&chunk);
             }
--- a/crates/relay/tests/connection.rs
+++ b/crates/relay/tests/connection.rs
@@ -20,6 +20,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::sleep;
 
+/// Longest body that the tests read.
+const MAX_BODY_BYTES: usize = 1 << 20;
+
 /// Time until a request's deadline, longer than any healthy exchange over loopback takes.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
 
@@ -149,11 +152,13 @@
     match answer.body {
         AnswerBody::Whole(bytes) => Ok(bytes),
         AnswerBody::Streamed(mut body) => {
-            read_whole(&mut body).await.map_err(|error| AttemptFailure {
-                kind: error.kind,
-                sent: true,
-                reused: false,
-            })
+            read_whole(&mut body, MAX_BODY_BYTES)
+                .await
+                .map_err(|error| AttemptFailure {
+                    kind: error.kind,
+                    sent: true,
+                    reused: false,
+                })
         }
     }
 }
@@ -390,7 +395,10 @@
         panic!("streamed body expected")
     };
     // The body arrives steadily but takes longer than the request's deadline.
-    assert_eq!(read_whole(&mut body).await.unwrap(), "abcde");
+    assert_eq!(
+        read_whole(&mut body, MAX_BODY_BYTES).await.unwrap(),
+        "abcde"
+    );
 }
 
 // Without the limit, a gate would take connections that the server keeps for other gates.
