Let one gate of a data centre read the store before the first configuration

Two causes, both read from the counts by second and shown by tests that fail before:

- Only a ready gate could be the reader of its data centre, and no gate is ready before the first configuration, about seven seconds after the start.
So the list of each gate went stale after 2.3 s and each read the store itself, twice, at its own moment; when the first reader then sent its changes, they began after what most gates had last read, the digests differed, and 387 gates read the whole list at once, three pages each.
Now the reader is the first gate that can read, ready or not; gates without a configuration wait for the reader.
Changes say where they begin: a gate that lacks earlier ones keeps its cursor and reads what follows it, in one call, instead of the list.
- Changes of more than 16 datagrams were not sent, so all gates read them from the store.
They are now passed on in a tree of width 4 (ggs_member), paced by half of the link of the reader; a gate that misses a part reads the changes.

A draining gate no longer counts as one that reads the store. Lines of the log about joined gates and changed servers name up to 32 of them with a count, instead of one line for each pair of hosts (223,256 lines for 473 gates).

platform/tests/fleet.rs, 24 gates: before, more than 11 reads in the first 3 s without a configuration, and 27 reads for a change of 600 servers where 7 are allowed; now within the reads of one gate.

--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use foldhash::quality::FixedState;
-use foldhash::{HashMap, HashMapExt};
+use foldhash::{HashMap, HashMapExt, HashSet};
 use ggs_model::Moment;
 
 use crate::{FeedChange, FeedPage, FeedValue, ServerRecord};
@@ -236,8 +236,9 @@
 
     /// Treats known rows that a page of all rows lacks as removed.
     fn drop_missing(&mut self, page: &FeedPage<ServerRecord>, now: Moment, diff: &mut CatalogDiff) {
+        let listed: HashSet<&Arc<str>> = page.changes.iter().map(|change| &change.key).collect();
         let missing = self.entries.keys();
-        let missing = missing.filter(|key| !page.changes.iter().any(|change| change.key == **key));
+        let missing = missing.filter(|key| !listed.contains(key));
         let missing: Vec<_> = missing.cloned().collect();
         for key in missing {
             self.remove(&key, now, diff);
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -28,6 +28,7 @@
 use crate::feeds::{ConfigText, PeerConfig};
 use crate::gates::send_to_near_gates;
 use crate::ports::{EdgeWire, FeedPage, FeedValue, FleetError, FleetStore, SettingsSource};
+use crate::servers::ReaderChoice;
 use crate::store_health::StoreHealth;
 
 /// Time that a long poll waits at the store for the next configuration, in percent of
@@ -137,7 +138,8 @@
         }
         if self.routes().is_none() {
             let defers = now < self.server_feed.defer_until.get();
-            return (!defers).then_some(ConfigRead::LongPoll(FIRST_CONFIG_POLL));
+            let waits = defers || self.reader(now) == ReaderChoice::Other;
+            return (!waits).then_some(ConfigRead::LongPoll(FIRST_CONFIG_POLL));
         }
         if self.is_reader(now) {
             let wait = self.settings().bounds.config_apply * POLL_PERCENT / 100;
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -79,6 +79,8 @@
     pub(crate) catalog: RefCell<ServerCatalog>,
     /// Gates and their leases.
     pub(crate) gates: RefCell<PeerTable>,
+    /// Gates that have joined since the last heartbeat of this gate, which logs them.
+    pub(crate) joined_gates: RefCell<Vec<String>>,
     /// Addresses at which other gates are reached.
     pub(crate) contacts: RefCell<GateContacts>,
     /// Token bucket for load probes.
@@ -132,6 +134,7 @@
         let body_budget = ByteBudget::new(settings.body_bytes());
         Rc::new(Self {
             gates: RefCell::new(PeerTable::new(own_record(&settings), policy, now)),
+            joined_gates: RefCell::default(),
             contacts: RefCell::new(GateContacts::default()),
             catalog: RefCell::new(ServerCatalog::new(settings.server_heartbeat)),
             settings: RefCell::new(Rc::new(settings)),
--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -124,6 +124,20 @@
     /// Changed rows.
     #[prost(message, repeated, tag = "4")]
     changes: Vec<ChangeBody>,
+    /// Version of the cursor at which the changes begin, in the same era; absent if the sender does
+    /// not state it.
+    #[prost(uint64, optional, tag = "6")]
+    pub(crate) from_version: Option<u64>,
+    /// Number of parts of the changes; zero if the sender does not state it.
+    #[prost(uint32, tag = "7")]
+    pub(crate) part_count: u32,
+    /// Number of this part, from zero.
+    #[prost(uint32, tag = "8")]
+    pub(crate) part: u32,
+    /// Address for datagrams of the gate that read the changes, if each gate passes them on; empty if
+    /// that gate sends them to all.
+    #[prost(string, tag = "9")]
+    pub(crate) root: String,
 }
 
 /// The whole list of servers of a gate.
@@ -194,9 +208,33 @@
         if let Some(last) = parts.last_mut() {
             last.digest = Some(digest);
         }
+        let count = parts.len() as u32;
+        for (index, part) in parts.iter_mut().enumerate() {
+            part.part = index as u32;
+            part.part_count = count;
+        }
         parts
     }
 
+    /// Joins the parts of one set of changes.
+    pub(crate) fn join(parts: Vec<Self>) -> Self {
+        let mut joined = Self::default();
+        for mut part in parts {
+            joined.version = part.version;
+            joined.era = part.era;
+            joined.from_version = part.from_version;
+            joined.digest = joined.digest.or(part.digest);
+            joined.changes.append(&mut part.changes);
+        }
+        joined
+    }
+
+    /// Whether a list that is known up to `cursor` lacks changes before these.
+    pub(crate) fn skips_changes_after(&self, cursor: FeedCursor) -> bool {
+        let from = self.from_version.unwrap_or(0);
+        self.era != cursor.era || from > cursor.version
+    }
+
     /// Puts all changes up to `cursor` into one message, whatever its length.
     pub(crate) fn unsplit(
         cursor: FeedCursor,
@@ -208,6 +246,7 @@
             era: cursor.era,
             digest: Some(digest),
             changes: changes.iter().map(ChangeBody::from).collect(),
+            ..Self::default()
         }
     }
 
@@ -216,8 +255,7 @@
         Self {
             version: cursor.version,
             era: cursor.era,
-            digest: None,
-            changes: Vec::new(),
+            ..Self::default()
         }
     }
 
--- a/crates/edge/src/feeds.rs
+++ b/crates/edge/src/feeds.rs
@@ -10,6 +10,7 @@
 use ggs_model::Moment;
 use tokio::sync::Notify;
 
+use crate::parts::PartCollector;
 use crate::ports::FeedCursor;
 
 /// The text of a configuration, kept to pass it on to other gates.
@@ -117,6 +118,11 @@
     /// Whether the list may be wrong, because its digest differs from another gate's or because the
     /// store lost the history. The next read then returns all rows.
     pub(crate) diverged: Cell<bool>,
+    /// Whether this gate lacks changes that were sent to it, so that it has to read the changes after
+    /// its cursor at once.
+    pub(crate) lacks_changes: Cell<bool>,
+    /// Parts of changes that other gates sent.
+    pub(crate) parts: RefCell<PartCollector>,
     /// Until when this gate of a new fleet lets other gates read the store.
     pub(crate) defer_until: Cell<Moment>,
     /// Whether the last read from the store failed.
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -17,7 +17,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::core::EdgeCore;
-use crate::datagrams::Datagram;
+use crate::datagrams::{Datagram, ServerChangesBody};
 use crate::feeds::PeerConfig;
 use crate::ports::{EdgeWire, FleetError, FleetStore, GateEntry};
 use crate::store_health::StoreHealth;
@@ -135,6 +135,10 @@
                 pairs,
             );
         }
+        let joined = core.joined_gates.take();
+        let message = "gates joined; heartbeats received";
+        core.log
+            .emit_names(LogEvent::GateJoined, message, "gate", &joined);
         core.contacts.borrow_mut().remove_expired(now);
         core.refresh_group(now);
         let sent = send_heartbeat(&core, &socket).await;
@@ -209,27 +213,44 @@
             sleep(RECEIVE_RETRY_PAUSE).await;
             continue;
         };
-        if let Err(cause) = handle_datagram(&core, &buffer[..length], sender) {
-            let pairs = slog::o!("sender" => sender.to_string(), "cause" => cause);
-            let message = "datagram cannot be decoded";
-            core.log.emit(LogEvent::PeerLinkRejected, message, pairs);
+        match handle_datagram(&core, &buffer[..length], sender) {
+            Ok(Some(relayed)) => {
+                let datagram = Datagram {
+                    servers: Some(relayed.changes),
+                    ..core.config_datagram()
+                };
+                send_to(&socket, &relayed.peers, &datagram).await;
+            }
+            Ok(None) => {}
+            Err(cause) => {
+                let pairs = slog::o!("sender" => sender.to_string(), "cause" => cause);
+                let message = "datagram cannot be decoded";
+                core.log.emit(LogEvent::PeerLinkRejected, message, pairs);
+            }
         }
     }
 }
 
-/// Applies what a datagram carries.
+/// Changes of servers that a gate passes on.
+struct RelayedChanges {
+    changes: ServerChangesBody,
+    peers: Vec<SocketAddr>,
+}
+
+/// Applies what a datagram carries; returns the changes of servers that have to be passed on.
 fn handle_datagram<W, S>(
     core: &EdgeCore<W, S>,
     bytes: &[u8],
     sender: SocketAddr,
-) -> Result<(), String> {
+) -> Result<Option<RelayedChanges>, String> {
     let datagram = Datagram::decode(bytes).map_err(|error| error.to_string())?;
     if let Some(update) = &datagram.load_update {
         core.apply_load_update(update);
     }
-    if let Some(servers) = &datagram.servers {
-        core.apply_server_changes(servers);
-    }
+    let relayed = datagram.servers.and_then(|changes| {
+        let peers = core.receive_changes(&changes);
+        (!peers.is_empty()).then_some(RelayedChanges { changes, peers })
+    });
     if let Some(peer) = &datagram.peer {
         let message = decode_message(peer).map_err(|error| error.to_string())?;
         handle_message(core, message, datagram.capacity);
@@ -244,7 +265,7 @@
     });
     let mut contacts = core.contacts.borrow_mut();
     contacts.set_reads_store(sender, datagram.reads_store);
-    Ok(())
+    Ok(relayed)
 }
 
 /// Applies a heartbeat or a goodbye.
@@ -261,12 +282,7 @@
                 outcome,
                 HeartbeatOutcome::Joined | HeartbeatOutcome::Returned
             ) {
-                let pairs = slog::o!("gate" => gate);
-                core.log.emit(
-                    LogEvent::GateJoined,
-                    "gate joined; heartbeat received",
-                    pairs,
-                );
+                core.joined_gates.borrow_mut().push(gate);
             }
         }
         PeerMessage::Goodbye(gate) => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 mod listen;
 mod load_updates;
 mod metrics;
+mod parts;
 mod pending;
 mod placement;
 mod ports;
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -5,21 +5,23 @@
 //! no changes for too long reads the store itself. A digest of the whole list goes with the
 //! changes, so that a gate that has missed some notices it and reads the list anew.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use ggs_member::{GateRecord, GateState};
-use ggs_model::{Clock, DataCentre, Moment};
+use ggs_member::{PeerLiveness, relay_children};
+use ggs_model::{Clock, Moment};
 use ggs_observe::LogEvent;
 use prost::Message;
 use tokio::net::UdpSocket;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::catalog::CatalogDiff;
 use crate::core::EdgeCore;
 use crate::datagrams::{Datagram, ServerChangesBody, ServerListBody};
-use crate::gates::send_to_near_gates;
+use crate::gates::{send_to, send_to_near_gates};
+use crate::parts::{MAX_PART_COUNT, PartOutcome};
 use crate::ports::{EdgeWire, FeedPage, FleetError, FleetStore, ServerRecord};
 use crate::store_health::StoreHealth;
 
@@ -41,30 +43,35 @@
 /// Most bytes of changes in one datagram, so that the whole datagram fits into one packet.
 const MAX_CHANGE_BYTES: usize = 1_100;
 
-/// Most datagrams for the changes of one read. If there are more changes, none are sent, and the
-/// other gates read them from the store.
-const MAX_CHANGE_DATAGRAM_COUNT: usize = 16;
+/// Most datagrams with changes that the reader sends to all gates of its data centre itself; more are
+/// passed on by each gate to a few others.
+const MAX_DIRECT_PART_COUNT: usize = 2;
+
+/// Part of the bandwidth of its host's link that the reader uses to send many changes, in percent.
+/// The rest is for its callers, and for the changes that it may have to pass on at the same time.
+const CHANGE_LINK_PERCENT: f64 = 50.0;
 
 /// Time between two checks of whether this gate is the reader of its data centre.
 const READER_CHECK_PERIOD: Duration = Duration::from_millis(250);
 
-/// Chooses the gate that reads the store for its data centre: the first by identifier of those
-/// there that can read it. `gates` pairs each gate with whether it can.
-pub(crate) fn choose_reader<'a>(
-    gates: impl Iterator<Item = (&'a GateRecord, bool)>,
-    data_centre: &DataCentre,
-) -> Option<&'a GateRecord> {
-    let candidates = gates.filter(|(gate, reads)| *reads && gate.data_centre == *data_centre);
-    candidates
-        .map(|(gate, _)| gate)
-        .min_by_key(|gate| &gate.gate)
+/// Which gate of a data centre reads the store for the others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReaderChoice {
+    /// This gate.
+    Own,
+    /// Another gate.
+    Other,
+    /// None is known.
+    Unknown,
 }
 
 impl<W, S> EdgeCore<W, S> {
-    /// Whether this gate can read the store: it knows a list of servers and its last read
-    /// succeeded.
+    /// Whether this gate can read the store for others: it knows a list of servers, its last read
+    /// succeeded, and it does not stop soon.
     pub(crate) fn reads_store(&self) -> bool {
-        !self.server_feed.reads_failing.get() && self.server_feed.cursor.get().is_some()
+        let reads =
+            !self.server_feed.reads_failing.get() && self.server_feed.cursor.get().is_some();
+        reads && !self.is_draining()
     }
 
     /// When the list of servers becomes stale, so that this gate has to read the store itself.
@@ -73,35 +80,72 @@
         self.server_feed.fresh_at.get() + drain * STALE_PERCENT / 100
     }
 
-    /// Whether this gate is the reader of its data centre. A gate that does not know the others yet
-    /// is not.
+    /// Whether this gate is the reader of its data centre.
     pub(crate) fn is_reader(&self, now: Moment) -> bool {
+        self.reader(now) == ReaderChoice::Own
+    }
+
+    /// The gate that reads the store for the data centre: the first by identifier of those whose
+    /// leases are current and that can read it, whether or not they have a configuration yet. A gate
+    /// that does not know the others yet is not the reader.
+    pub(crate) fn reader(&self, now: Moment) -> ReaderChoice {
         let defers =
             !self.contacts.borrow().knows_store_gates() || now < self.server_feed.defer_until.get();
-        if !self.is_ready() || defers {
-            return false;
-        }
         let gates = self.gates.borrow();
         let contacts = self.contacts.borrow();
         let own = gates.own();
-        let advertised = gates.advertised(now);
-        let live = advertised.live.iter();
-        let live = live.filter(|gate| gate.state == GateState::Live);
-        let candidates = live.map(|gate| {
-            let reads = if gate.gate == own.gate {
-                self.reads_store()
-            } else {
-                contacts.reads_store(gate.peers)
-            };
-            (*gate, reads)
+        let others = gates.views(now).filter(|view| {
+            let is_heard = matches!(view.liveness, PeerLiveness::Live | PeerLiveness::Draining);
+            is_heard
+                && view.record.data_centre == own.data_centre
+                && contacts.reads_store(view.record.peers)
         });
-        let reader = choose_reader(candidates, &own.data_centre);
-        reader.is_some_and(|reader| reader.gate == own.gate)
+        let first_other = others.map(|view| &view.record.gate).min();
+        let may_read = self.reads_store() && !defers;
+        match first_other {
+            Some(other) if !may_read || *other < own.gate => ReaderChoice::Other,
+            _ if may_read => ReaderChoice::Own,
+            _ => ReaderChoice::Unknown,
+        }
+    }
+
+    /// Applies a part of the changes of the list of servers that another gate sent; returns the gates
+    /// to which this one has to pass it on.
+    pub(crate) fn receive_changes(&self, body: &ServerChangesBody) -> Vec<SocketAddr> {
+        if body.part_count <= 1 {
+            self.apply_server_changes(body);
+            return Vec::new();
+        }
+        let outcome = self.server_feed.parts.borrow_mut().add(body.clone());
+        match outcome {
+            PartOutcome::Ignored => return Vec::new(),
+            PartOutcome::Incomplete { last: false } => {}
+            PartOutcome::Incomplete { last: true } => self.request_changes(),
+            PartOutcome::Complete(changes) => self.apply_server_changes(&changes),
+        }
+        let Ok(root) = body.root.parse() else {
+            return Vec::new();
+        };
+        self.relay_peers(root)
+    }
+
+    /// The gates to which this one passes on a message that started at `root`.
+    fn relay_peers(&self, root: SocketAddr) -> Vec<SocketAddr> {
+        let settings = self.settings();
+        let peers = self.contacts.borrow().peers_of(&settings.data_centre);
+        relay_children(&peers, root, settings.listen_gates)
+    }
+
+    /// Makes this gate read the changes after its cursor at once.
+    fn request_changes(&self) {
+        self.server_feed.lacks_changes.set(true);
+        self.server_feed.wakeup.notify_one();
     }
 
     /// Applies changes of the list of servers that another gate sent. Changes that end before this
-    /// gate's cursor are ignored.
-    pub(crate) fn apply_server_changes(&self, body: &ServerChangesBody) {
+    /// gate's cursor are ignored. If changes before these are missing, the cursor stays, and this
+    /// gate reads what follows it.
+    fn apply_server_changes(&self, body: &ServerChangesBody) {
         let Some(own_cursor) = self.server_feed.cursor.get() else {
             return;
         };
@@ -117,7 +161,11 @@
             self.apply_partial(page);
             return;
         };
-        // If this gate missed earlier changes, the digests differ.
+        if body.skips_changes_after(own_cursor) {
+            self.apply_partial(page);
+            self.request_changes();
+            return;
+        }
         self.apply_page(page);
         if self.catalog.borrow().digest() != digest {
             self.server_feed.diverged.set(true);
@@ -159,8 +207,7 @@
         same
     }
 
-    /// Applies a part of the changes of a read that is not the last one. The cursor moves only with
-    /// the last part.
+    /// Applies changes without moving the cursor, as others are missing.
     fn apply_partial(&self, part: FeedPage<ServerRecord>) {
         let now = self.clock.now();
         let diff = self.catalog.borrow_mut().apply(part, now);
@@ -191,16 +238,12 @@
         if diff.changes_servers() {
             self.refresh_services(self.clock.now());
         }
-        for server in diff.listed {
-            let pairs = slog::o!("server" => server.to_string());
-            let message = "server is listed and can get requests";
-            self.log.emit(LogEvent::ServerListed, message, pairs);
-        }
-        for server in diff.dropped {
-            let pairs = slog::o!("server" => server.to_string());
-            let message = "server gets no new requests";
-            self.log.emit(LogEvent::ServerDropped, message, pairs);
-        }
+        let (listed, dropped) = (LogEvent::ServerListed, LogEvent::ServerDropped);
+        let message = "servers are listed and can get requests";
+        self.log.emit_names(listed, message, "server", &diff.listed);
+        let message = "servers get no new requests";
+        self.log
+            .emit_names(dropped, message, "server", &diff.dropped);
         for (server, cause) in diff.unreadable {
             let pairs = slog::o!("server" => server.to_string(), "cause" => cause);
             let message = "server row cannot be used; the server gets no new requests";
@@ -224,6 +267,7 @@
         // Drop servers with missing rows in time, whether or not the store answers.
         core.expire_servers();
         let read_all = core.server_feed.diverged.replace(false);
+        core.server_feed.lacks_changes.set(false);
         let cursor = core.server_feed.cursor.get().filter(|_| !read_all);
         let read = core.store.read_servers(cursor, Duration::ZERO).await;
         match read {
@@ -266,25 +310,57 @@
     W: EdgeWire,
     S: FleetStore,
 {
-    let synced_before = core.server_feed.cursor.get().is_some();
+    let cursor_before = core.server_feed.cursor.get();
     let cursor = page.cursor;
     let mut changes = page.changes.clone();
     changes.retain(|change| core.catalog.borrow().is_relevant(change));
     core.apply_page(page);
-    if !synced_before || !core.is_reader(core.clock.now()) {
+    let Some(before) = cursor_before else {
+        return;
+    };
+    if !core.is_reader(core.clock.now()) {
         return;
     }
     let digest = core.catalog.borrow().digest();
     let parts = ServerChangesBody::split(cursor, digest, &changes, MAX_CHANGE_BYTES);
-    if parts.len() > MAX_CHANGE_DATAGRAM_COUNT {
+    let from_version = (before.era == cursor.era).then_some(before.version);
+    share_parts(core, socket, parts, from_version).await;
+}
+
+/// Sends the parts of a set of changes to the gates of the data centre: to all of them if there are
+/// few parts, else to a few gates that pass them on.
+async fn share_parts<W, S>(
+    core: &Rc<EdgeCore<W, S>>,
+    socket: &UdpSocket,
+    parts: Vec<ServerChangesBody>,
+    from_version: Option<u64>,
+) {
+    if parts.len() > MAX_PART_COUNT {
         return;
     }
-    for part in parts {
+    let settings = core.settings();
+    let is_relayed = parts.len() > MAX_DIRECT_PART_COUNT;
+    let children = core.relay_peers(settings.listen_gates);
+    let link_bytes_per_second = settings.link_mbps * 1e6 / 8.0 * CHANGE_LINK_PERCENT / 100.0;
+    for mut part in parts {
+        part.from_version = from_version;
+        if is_relayed {
+            part.root = settings.listen_gates.to_string();
+        }
         let datagram = Datagram {
             servers: Some(part),
             ..core.config_datagram()
         };
-        send_to_near_gates(core, socket, &datagram).await;
+        if !is_relayed {
+            send_to_near_gates(core, socket, &datagram).await;
+            continue;
+        }
+        send_to(socket, &children, &datagram).await;
+        let sent_bytes = datagram.encoded_len() * children.len();
+        sleep(Duration::from_secs_f64(
+            sent_bytes as f64 / link_bytes_per_second,
+        ))
+        .await;
     }
 }
 
@@ -299,9 +375,10 @@
             core.stale_at()
         };
         let pause = due.since(now);
-        if pause.is_zero() || core.server_feed.diverged.get() {
+        let incomplete = core.server_feed.diverged.get() || core.server_feed.lacks_changes.get();
+        if pause.is_zero() || incomplete {
             // A list whose digest keeps differing must not cause reads without a pause.
-            tokio::time::sleep(MIN_READ_PAUSE).await;
+            sleep(MIN_READ_PAUSE).await;
             return;
         }
         // Drop servers with missing rows in time, whether or not the store is read then.
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`RemovalLimiter`]: limits the share of gates or servers that is removed per interval.
 //! - [`order_entries`]: the gate addresses that a caller is told to use, in order.
 //! - [`choose_group`]: the subset of gates that serves the callers of one host name.
+//! - [`relay_children`]: to whom each gate passes on a message that is meant for all.
 //!
 //! Nothing here reads a clock or does I/O: the caller passes in events and the current
 //! [`Moment`](ggs_model::Moment), and gets back what changed.
@@ -15,6 +16,7 @@
 mod group;
 mod leaving;
 mod peers;
+mod relay_tree;
 mod removal;
 mod roster;
 
@@ -25,5 +27,6 @@
     AdvertisedGates, GateRecord, GateState, HEARTBEAT_INTERVAL, HeartbeatOutcome, LEASE,
     PeerLiveness, PeerPolicy, PeerTable, PeerView, TickReport,
 };
+pub use relay_tree::relay_children;
 pub use removal::RemovalLimiter;
 pub use roster::{ListUpdate, ServerRoster, ServerView};
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -60,9 +60,9 @@
     HostListShrunken = 302,
     /// A server is draining before it stops.
     ServerLeaving = 303,
-    /// A server was listed and accepts new requests.
+    /// Servers were listed and accept new requests.
     ServerListed = 304,
-    /// A server no longer accepts new requests: it is leaving or gone.
+    /// Servers no longer accept new requests: they are leaving or gone.
     ServerDropped = 305,
     /// A row of the server list could not be read as a usable server, which gets no new requests.
     ServerUnreadable = 306,
@@ -89,7 +89,7 @@
     /// A request was answered before its body was read: the body is too long, does not fit into the
     /// memory of the gate, or did not arrive in time.
     BodyNotRead = 406,
-    /// A heartbeat arrived from a gate that is new or was unreachable.
+    /// Heartbeats arrived from gates that are new or were unreachable.
     GateJoined = 500,
     /// Another gate announced that it stops.
     GateLeft = 501,
--- a/crates/observe/src/lib.rs
+++ b/crates/observe/src/lib.rs
@@ -11,6 +11,6 @@
 
 pub use event::{LogEvent, LogLevel};
 pub use labels::RequestLabels;
-pub use log::{EventLog, LogFormat};
+pub use log::{EventLog, LogFormat, MAX_NAMED_COUNT};
 pub use metrics::{GateMetrics, LATENCY_BUCKETS};
 pub use service::ServiceMetrics;
--- a/crates/observe/src/log.rs
+++ b/crates/observe/src/log.rs
@@ -15,6 +15,10 @@
     Off,
 }
 
+/// Most names in a line of [`EventLog::emit_names`], so that a change of a whole fleet makes one line
+/// of bounded length.
+pub const MAX_NAMED_COUNT: usize = 32;
+
 /// A log of numbered events.
 ///
 /// ```
@@ -40,6 +44,29 @@
         Self { logger }
     }
 
+    /// Writes one line for an event of any number of hosts or servers: the first [`MAX_NAMED_COUNT`]
+    /// names under `key`, separated by commas, and how many there are under `count`. Writes nothing if
+    /// there are none.
+    ///
+    /// ```
+    /// use ggs_observe::{EventLog, LogEvent, LogFormat};
+    ///
+    /// let log = EventLog::new(LogFormat::Off, "entry-1");
+    /// log.emit_names(LogEvent::ServerListed, "servers are listed", "server", &["i-1", "i-2"]);
+    /// ```
+    pub fn emit_names<N>(&self, event: LogEvent, message: &str, key: &'static str, names: &[N])
+    where
+        N: AsRef<str>,
+    {
+        if names.is_empty() {
+            return;
+        }
+        let named = names.iter().take(MAX_NAMED_COUNT);
+        let named: Vec<&str> = named.map(AsRef::as_ref).collect();
+        let pairs = slog::o!(key => named.join(","), "count" => names.len());
+        self.emit(event, message, pairs);
+    }
+
     /// Writes `message` with the number and name of `event` and the given key-value pairs.
     pub fn emit<T>(&self, event: LogEvent, message: &str, pairs: slog::OwnedKV<T>)
     where
