Report on other gates in heartbeats, so that large data centres stay in touch

A gate sent its heartbeat to each other gate of its data centre once per 20 ms times their number. Entry answers, the choice of the reader and the groups that serve a host name changed with them, and with those the connections to servers.

A heartbeat now goes to 16 gates drawn at random every 500 ms and carries what its sender has heard of the others, with the age of each: 32 datagrams a second to and from each gate, whatever their number, where it was 50. The first three heartbeats go to all, as a gate learns addresses from them.

--- a/crates/edge/src/contacts.rs
+++ b/crates/edge/src/contacts.rs
@@ -10,8 +10,8 @@
 use ggs_member::{GateRecord, GroupCandidate};
 use ggs_model::{DataCentre, Moment};
 
-/// Time without a datagram after which a gate is left out of entry answers. It covers three
-/// heartbeat periods, or two in a data centre of 40 gates, where the period is longer.
+/// Time without a heartbeat after which a gate is left out of entry answers. It covers three
+/// heartbeat periods.
 pub(crate) const GATE_LEASE: Duration = Duration::from_millis(1_800);
 
 /// Time for which datagrams are still sent to a gate that sends none. It is longer than the longest
@@ -51,6 +51,14 @@
         self.contacts.insert(record.peers, contact);
     }
 
+    /// Refreshes a known gate that another gate has heard.
+    pub(crate) fn refresh(&mut self, peers: SocketAddr, reads_store: bool, now: Moment) {
+        if let Some(contact) = self.contacts.get_mut(&peers) {
+            contact.refreshed_at = now;
+            contact.reads_store = reads_store;
+        }
+    }
+
     /// Records that the gates have been read from the store.
     pub(crate) fn set_store_gates_known(&mut self) {
         self.store_gates_known = true;
--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -38,6 +38,13 @@
     /// Limits that servers named; set in a heartbeat.
     #[prost(message, repeated, tag = "9")]
     pub(crate) limits: Vec<LimitBody>,
+    /// Incarnations of gates of the data centre whose leases are current at the sender, without the
+    /// sender; set in a heartbeat.
+    #[prost(fixed64, repeated, tag = "10")]
+    pub(crate) heard_gates: Vec<u64>,
+    /// For each of them, when it was last heard and what it said, as a [`HeardState`].
+    #[prost(uint32, repeated, tag = "11")]
+    pub(crate) heard_states: Vec<u32>,
     /// Load reports and sends since the last update.
     #[prost(message, optional, tag = "3")]
     pub(crate) load_update: Option<LoadUpdateBody>,
@@ -46,6 +53,32 @@
     pub(crate) servers: Option<ServerChangesBody>,
 }
 
+/// What a gate said of itself, and how long ago, in one number: the milliseconds times four, plus one
+/// if the gate accepts callers, plus two if it reads the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct HeardState {
+    pub(crate) age: Duration,
+    pub(crate) is_live: bool,
+    pub(crate) reads_store: bool,
+}
+
+impl From<HeardState> for u32 {
+    fn from(state: HeardState) -> Self {
+        let age_ms = state.age.as_millis().min(u128::from(u32::MAX >> 2)) as Self;
+        (age_ms << 2) | Self::from(state.is_live) | (Self::from(state.reads_store) << 1)
+    }
+}
+
+impl From<u32> for HeardState {
+    fn from(number: u32) -> Self {
+        Self {
+            age: Duration::from_millis(u64::from(number >> 2)),
+            is_live: number & 1 != 0,
+            reads_store: number & 2 != 0,
+        }
+    }
+}
+
 /// What the newest answer of a server that its sender knows said of the server's limit.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct LimitBody {
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -8,26 +8,31 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use ggs_member::{GateState, HeartbeatOutcome};
-use ggs_model::Clock;
+use ggs_member::{GateState, HeartbeatOutcome, PeerReport};
+use ggs_model::{Clock, Incarnation};
 use ggs_observe::LogEvent;
 use ggs_peer::{PROTOCOL_VERSION, PeerHello, PeerMessage, decode_message, encode_message};
 use prost::Message;
+use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use tokio::time::{sleep, timeout};
 
 use crate::core::EdgeCore;
-use crate::datagrams::{Datagram, ServerChangesBody};
+use crate::datagrams::{Datagram, HeardState, ServerChangesBody};
 use crate::feeds::PeerConfig;
 use crate::ports::{EdgeWire, FleetError, FleetStore, GateEntry};
 use crate::store_health::StoreHealth;
 
-/// Shortest mean time between two heartbeats to each gate of the data centre.
+/// Mean time between two heartbeats of a gate.
 const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
 
-/// Mean time between two heartbeats of a gate in a large data centre, for each gate there, so that
-/// a gate sends about 50 datagrams with heartbeats per second however many gates there are.
-const HEARTBEAT_PERIOD_PER_GATE: Duration = Duration::from_millis(20);
+/// Gates of the data centre to which each heartbeat goes, drawn at random if there are more, so that
+/// a gate sends as many datagrams however many gates there are. Each carries what the sender has
+/// heard of the others, so that a heartbeat reaches a few hundred gates within three periods.
+const HEARTBEAT_FANOUT: usize = 16;
+
+/// Most gates that a heartbeat reports on, drawn at random if there are more; each takes 11 bytes.
+const MAX_HEARD_COUNT: usize = 80;
 
 /// Shortest mean time between two reads of the gates in the store. A gate that starts reads them
 /// and sends a heartbeat to its data centre, so later reads only make up for lost datagrams.
@@ -44,6 +49,10 @@
 /// fleet, so that they do not all call the store at the same time.
 const RESTORE_SPREAD_PER_GATE: Duration = Duration::from_millis(20);
 
+/// Bytes that the report on one gate takes in a heartbeat: 8 for the incarnation, up to 4 for its
+/// state.
+const HEARD_BYTES: usize = 12;
+
 /// Size of the receive buffer; longer datagrams are truncated.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -82,6 +91,60 @@
     }
 }
 
+impl<W, S> EdgeCore<W, S> {
+    /// Addresses of the other known gates of the data centre.
+    fn near_peers(&self) -> Vec<SocketAddr> {
+        let settings = self.settings();
+        let mut peers = self.contacts.borrow().peers_of(&settings.data_centre);
+        peers.retain(|address| *address != settings.listen_gates);
+        peers
+    }
+
+    /// Adds what this gate has heard of others to a heartbeat, as far as it fits.
+    fn add_heard_gates(&self, datagram: &mut Datagram) {
+        let now = self.clock.now();
+        let gates = self.gates.borrow();
+        let contacts = self.contacts.borrow();
+        let reports: Vec<_> = gates.reports(now).collect();
+        let rest = MAX_DATAGRAM_BYTES.saturating_sub(datagram.encoded_len());
+        let most = MAX_HEARD_COUNT.min(rest / HEARD_BYTES);
+        for (peers, report) in reports.sample(&mut rand::rng(), most) {
+            let state = HeardState {
+                age: now.since(report.heard_at),
+                is_live: report.state == GateState::Live,
+                reads_store: contacts.reads_store(*peers),
+            };
+            datagram.heard_gates.push(report.incarnation.0);
+            datagram.heard_states.push(state.into());
+        }
+    }
+
+    /// Applies what another gate has heard of others.
+    fn apply_heard_gates(&self, datagram: &Datagram) {
+        let now = self.clock.now();
+        let heard = datagram.heard_gates.iter().zip(&datagram.heard_states);
+        for (incarnation, state) in heard {
+            let state = HeardState::from(*state);
+            let outcome = self.gates.borrow_mut().record_report(PeerReport {
+                incarnation: Incarnation(*incarnation),
+                state: if state.is_live {
+                    GateState::Live
+                } else {
+                    GateState::Draining
+                },
+                heard_at: now - state.age,
+            });
+            let Some(outcome) = outcome else { continue };
+            let mut contacts = self.contacts.borrow_mut();
+            contacts.refresh(outcome.peers, state.reads_store, now);
+            if outcome.returned {
+                let mut joined = self.joined_gates.borrow_mut();
+                joined.push(outcome.peers.to_string());
+            }
+        }
+    }
+}
+
 /// Keeps this gate registered in the store and reads the others periodically, and after a restore of
 /// the store, until the process ends.
 pub(crate) async fn follow_store<W, S>(core: Rc<EdgeCore<W, S>>)
@@ -117,6 +180,10 @@
 /// Pause after a failed receive.
 const RECEIVE_RETRY_PAUSE: Duration = Duration::from_millis(20);
 
+/// Heartbeats that go to all gates of the data centre after this gate has learnt of them, as a gate
+/// learns the addresses of another from its own heartbeat only.
+const FULL_HEARTBEAT_COUNT: u32 = 3;
+
 /// Sends heartbeats to the gates of the data centre and withdraws gates whose leases have expired,
 /// until the process ends.
 pub(crate) async fn send_heartbeats<W, S>(core: Rc<EdgeCore<W, S>>, socket: Rc<UdpSocket>)
@@ -124,6 +191,7 @@
     W: EdgeWire,
     S: 'static,
 {
+    let mut full_count = 0;
     loop {
         let now = core.clock.now();
         let report = core.gates.borrow_mut().tick(now);
@@ -141,16 +209,37 @@
             .emit_names(LogEvent::GateJoined, message, "gate", &joined);
         core.contacts.borrow_mut().remove_expired(now);
         core.refresh_group(now);
-        let sent = send_heartbeat(&core, &socket).await;
-        let period = HEARTBEAT_PERIOD.max(HEARTBEAT_PERIOD_PER_GATE * sent as u32);
+        if full_count < FULL_HEARTBEAT_COUNT && core.contacts.borrow().knows_store_gates() {
+            full_count += 1;
+            send_first_heartbeat(&core, &socket).await;
+        } else {
+            send_heartbeat(&core, &socket).await;
+        }
         // Random jitter, so that gates do not send at the same time.
-        sleep(period.mul_f64(rand::random_range(0.8..1.2))).await;
+        sleep(HEARTBEAT_PERIOD.mul_f64(rand::random_range(0.8..1.2))).await;
     }
 }
 
-/// Sends a heartbeat to each gate of the data centre; returns to how many. A gate that is not ready
-/// announces itself as draining, so that callers are not told of it.
-pub(crate) async fn send_heartbeat<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) -> usize {
+/// Sends a heartbeat to some gates of the data centre, with what this gate has heard of the others.
+async fn send_heartbeat<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) {
+    let mut datagram = own_heartbeat(core);
+    core.add_heard_gates(&mut datagram);
+    let peers = core.near_peers();
+    let peers: Vec<_> = peers
+        .sample(&mut rand::rng(), HEARTBEAT_FANOUT)
+        .copied()
+        .collect();
+    send_to(socket, &peers, &datagram).await;
+}
+
+/// Makes this gate known to all gates of the data centre.
+pub(crate) async fn send_first_heartbeat<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) {
+    send_to_near_gates(core, socket, &own_heartbeat(core)).await;
+}
+
+/// A heartbeat of this gate. A gate that is not ready announces itself as draining, so that callers
+/// are not told of it.
+fn own_heartbeat<W, S>(core: &EdgeCore<W, S>) -> Datagram {
     let mut record = core.gates.borrow().own().clone();
     if !core.is_ready() {
         record.state = GateState::Draining;
@@ -159,7 +248,7 @@
         version: PROTOCOL_VERSION,
         record,
     });
-    send_to_near_gates(core, socket, &peer_datagram(core, &message)).await
+    peer_datagram(core, &message)
 }
 
 /// Tells the gates of the data centre that this one is leaving.
@@ -179,17 +268,13 @@
     }
 }
 
-/// Sends a datagram to each other known gate of the data centre; returns to how many.
+/// Sends a datagram to each other known gate of the data centre.
 pub(crate) async fn send_to_near_gates<W, S>(
     core: &EdgeCore<W, S>,
     socket: &UdpSocket,
     datagram: &Datagram,
-) -> usize {
-    let settings = core.settings();
-    let mut peers = core.contacts.borrow().peers_of(&settings.data_centre);
-    peers.retain(|address| *address != settings.listen_gates);
-    send_to(socket, &peers, datagram).await;
-    peers.len()
+) {
+    send_to(socket, &core.near_peers(), datagram).await;
 }
 
 /// Sends a datagram to each address in `peers`.
@@ -247,7 +332,7 @@
     if let Some(update) = &datagram.load_update {
         core.apply_load_update(update);
     }
-    let relayed = datagram.servers.and_then(|changes| {
+    let relayed = datagram.servers.clone().and_then(|changes| {
         let peers = core.receive_changes(&changes);
         (!peers.is_empty()).then_some(RelayedChanges { changes, peers })
     });
@@ -255,6 +340,7 @@
         let message = decode_message(peer).map_err(|error| error.to_string())?;
         handle_message(core, message, datagram.capacity);
     }
+    core.apply_heard_gates(&datagram);
     core.apply_peer_limits(&datagram.limits);
     let config_age = datagram.config_age_ms.map(Duration::from_millis);
     core.config_feed.note_peer(PeerConfig {
--- a/crates/edge/src/startup.rs
+++ b/crates/edge/src/startup.rs
@@ -16,7 +16,7 @@
 
 use crate::config::{CONFIG_PATH, apply_peer_config, fetch, follow_configs};
 use crate::core::EdgeCore;
-use crate::gates::{follow_store, send_heartbeat};
+use crate::gates::{follow_store, send_first_heartbeat};
 use crate::ports::{EdgeWire, FleetStore};
 use crate::servers::{SERVERS_PATH, follow_servers};
 
@@ -45,7 +45,7 @@
     S: FleetStore,
 {
     if core.settings().new_fleet && register_and_read_gates(&core).await {
-        send_heartbeat(&core, &socket).await;
+        send_first_heartbeat(&core, &socket).await;
         // After a timeout, the tasks below read the store.
         let _fetched = timeout(FETCH_TIMEOUT, fetch_from_gates(&core)).await;
     }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -25,7 +25,7 @@
 pub use leaving::{LeavingSet, MAX_NOTICES, NOTICE_REPEAT_TIME};
 pub use peers::{
     AdvertisedGates, GateRecord, GateState, HEARTBEAT_INTERVAL, HeartbeatOutcome, LEASE,
-    PeerLiveness, PeerPolicy, PeerTable, PeerView, TickReport,
+    PeerLiveness, PeerPolicy, PeerReport, PeerTable, PeerView, ReportOutcome, TickReport,
 };
 pub use relay_tree::relay_children;
 pub use removal::RemovalLimiter;
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -7,7 +7,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use ggs_model::{DataCentre, GateId, Moment};
+use foldhash::{HashMap, HashMapExt};
+use ggs_model::{DataCentre, GateId, Incarnation, Moment};
 use strum::{Display, EnumString, IntoStaticStr};
 
 use crate::RemovalLimiter;
@@ -119,6 +120,29 @@
     pub replaced: Vec<GateId>,
 }
 
+/// What one gate tells another of a third: when it last heard of that gate, directly or by a report.
+///
+/// Reports carry the time of the gate's own heartbeat, so however many gates pass one on, it does not
+/// renew the lease for longer than that heartbeat does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerReport {
+    /// Incarnation of the gate, which identifies it: it is drawn at random at each start.
+    pub incarnation: Incarnation,
+    /// What the gate announced.
+    pub state: GateState,
+    /// When its heartbeat was received by the first gate that reported it.
+    pub heard_at: Moment,
+}
+
+/// What a report changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportOutcome {
+    /// Address of the reported gate for other gates.
+    pub peers: SocketAddr,
+    /// Whether the gate had been lost and is live again.
+    pub returned: bool,
+}
+
 /// One gate in a [`PeerTable`], as shown to users of the table.
 #[derive(Clone, Copy, Debug)]
 pub struct PeerView<'a> {
@@ -150,8 +174,8 @@
 
 /// The gates that this gate knows, and whether their leases are current.
 ///
-/// Only a gate's own heartbeat renews its lease; what other gates report about it is only used as
-/// an address to connect to. Entries are kept per incarnation of a gate, so that a late heartbeat
+/// Only a gate's own heartbeat renews its lease, from the time at which a gate first received it:
+/// [`PeerReport`]s pass that time on. Entries are kept per incarnation of a gate, so that a late heartbeat
 /// or goodbye of an earlier incarnation cannot affect a newer one.
 ///
 /// A gate that loses many peers at once has more likely lost its own connections. So lost peers are
@@ -162,6 +186,8 @@
     own: GateRecord,
     policy: PeerPolicy,
     entries: BTreeMap<GateId, PeerEntry>,
+    /// The gates of `entries` by their incarnations; may name gates that were removed.
+    incarnations: HashMap<Incarnation, GateId>,
     tombstones: VecDeque<GateId>,
     withdrawals: RemovalLimiter,
     last_tick: Moment,
@@ -176,6 +202,7 @@
             own,
             policy,
             entries: BTreeMap::new(),
+            incarnations: HashMap::new(),
             tombstones: VecDeque::new(),
             withdrawals: RemovalLimiter::new(policy.withdraw_percent, policy.lease),
             last_tick: now,
@@ -200,6 +227,7 @@
         }
         let Some(entry) = self.entries.get_mut(&record.gate) else {
             let gate = record.gate.clone();
+            self.incarnations.insert(gate.incarnation, gate.clone());
             let entry = PeerEntry {
                 record,
                 last_heartbeat: now,
@@ -220,6 +248,39 @@
         }
     }
 
+    /// Records what another gate reported of a third. Returns `None` if the third gate is not known,
+    /// as its addresses are not, or if the report is not newer than what is known.
+    pub fn record_report(&mut self, report: PeerReport) -> Option<ReportOutcome> {
+        let gate = self.incarnations.get(&report.incarnation)?;
+        let entry = self.entries.get_mut(gate)?;
+        if report.heard_at <= entry.last_heartbeat {
+            return None;
+        }
+        let gap = report.heard_at.since(entry.last_heartbeat);
+        let returned = entry.withdrawn || gap > self.policy.lease;
+        entry.last_heartbeat = report.heard_at;
+        entry.record.state = report.state;
+        entry.withdrawn = false;
+        Some(ReportOutcome {
+            peers: entry.record.peers,
+            returned,
+        })
+    }
+
+    /// Reports on the gates whose leases are current, with their addresses for other gates.
+    pub fn reports(&self, now: Moment) -> impl Iterator<Item = (SocketAddr, PeerReport)> {
+        let entries = self.entries.values();
+        let entries = entries.filter(move |entry| !entry.withdrawn && !self.is_lost(entry, now));
+        entries.map(|entry| {
+            let report = PeerReport {
+                incarnation: entry.record.gate.incarnation,
+                state: entry.record.state,
+                heard_at: entry.last_heartbeat,
+            };
+            (entry.record.peers, report)
+        })
+    }
+
     /// Removes a gate that said goodbye, and keeps a tombstone for this incarnation; returns
     /// whether the gate was known.
     pub fn record_goodbye(&mut self, gate: &GateId) -> bool {
@@ -256,6 +317,9 @@
         let forget_after = self.policy.forget_after;
         self.entries
             .retain(|_, entry| now.since(entry.last_heartbeat) <= forget_after);
+        let entries = &self.entries;
+        self.incarnations
+            .retain(|_, gate| entries.contains_key(gate));
         report
     }
 
