Find gates by datagrams instead of a row and a read for each

473 gates that start made 834 writes of their rows and 834 reads of all gates in the store within a second: the store answers the burst of writes to one part with 429, and each repeats write and read.

A gate that starts now asks a gate that its settings name ("seeds") for all that this one knows, and is known to it by the question. Only the four live gates of a data centre with the lowest addresses are registered in the store; a gate whose seeds do not answer finds the others through them. Gates that start in a running fleet fetch the servers and the configuration from a gate too.

--- a/crates/edge/src/contacts.rs
+++ b/crates/edge/src/contacts.rs
@@ -1,6 +1,6 @@
 //! The gates of the fleet that this gate knows, with their addresses.
 //!
-//! Gates become known from the store and from their datagrams. The contacts say where to send
+//! Gates become known from the store, from their datagrams and from the lists of other gates. The contacts say where to send
 //! datagrams, and which gates of other data centres an entry answer can name.
 
 use std::net::SocketAddr;
@@ -14,10 +14,23 @@
 /// heartbeat periods.
 pub(crate) const GATE_LEASE: Duration = Duration::from_millis(1_800);
 
-/// Time for which datagrams are still sent to a gate that sends none. It is longer than the longest
-/// time between two reads of the gates in the store.
+/// Time for which datagrams are still sent to a gate of which nothing is heard. It is much longer
+/// than the time between two lists of other gates.
 const CONTACT_TTL: Duration = Duration::from_mins(5);
 
+/// A gate as gates tell one another of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ListedContact {
+    pub(crate) data_centre: DataCentre,
+    pub(crate) callers: SocketAddr,
+    /// Address for datagrams.
+    pub(crate) peers: SocketAddr,
+    /// Capacity of the gate's host relative to the smallest.
+    pub(crate) capacity: u32,
+    /// Time since it was last heard of.
+    pub(crate) age: Duration,
+}
+
 /// What is known of one gate.
 #[derive(Clone, Debug)]
 struct GateContact {
@@ -34,8 +47,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct GateContacts {
     contacts: HashMap<SocketAddr, GateContact>,
-    /// Whether the gates have been read from the store at least once.
-    store_gates_known: bool,
+    /// Whether another gate has listed the gates, or they have been read from the store, at least once.
+    gates_known: bool,
 }
 
 impl GateContacts {
@@ -59,14 +72,53 @@
         }
     }
 
-    /// Records that the gates have been read from the store.
-    pub(crate) fn set_store_gates_known(&mut self) {
-        self.store_gates_known = true;
+    /// Adds a gate that another one listed, or refreshes it if the other has heard of it later.
+    pub(crate) fn record_listed(&mut self, listed: &ListedContact, now: Moment) {
+        if listed.age >= CONTACT_TTL {
+            return;
+        }
+        let refreshed_at = now - listed.age;
+        let known = self.contacts.get(&listed.peers);
+        if known.is_some_and(|known| known.refreshed_at >= refreshed_at) {
+            return;
+        }
+        let contact = GateContact {
+            data_centre: listed.data_centre.clone(),
+            callers: listed.callers,
+            refreshed_at,
+            reads_store: self.reads_store(listed.peers),
+            capacity: listed.capacity,
+        };
+        self.contacts.insert(listed.peers, contact);
+    }
+
+    /// All known gates, as other gates are told of them.
+    pub(crate) fn listed(&self, now: Moment) -> Vec<ListedContact> {
+        let contacts = self.contacts.iter();
+        let listed = contacts.map(|(peers, contact)| ListedContact {
+            data_centre: contact.data_centre.clone(),
+            callers: contact.callers,
+            peers: *peers,
+            capacity: contact.capacity,
+            age: now.since(contact.refreshed_at),
+        });
+        listed.collect()
+    }
+
+    /// Datagram addresses of all known gates.
+    pub(crate) fn all_peers(&self) -> Vec<SocketAddr> {
+        self.contacts.keys().copied().collect()
+    }
+
+    /// Records that another gate has listed the gates, or that they have been read from the store.
+    pub(crate) fn set_gates_known(&mut self) {
+        self.gates_known = true;
     }
 
-    /// Whether the gates have been read from the store at least once.
-    pub(crate) fn knows_store_gates(&self) -> bool {
-        self.store_gates_known
+    /// Whether another gate has listed the gates, or they have been read from the store, at least
+    /// once.
+    pub(crate) fn knows_gates(&self) -> bool {
+        self.gates_known
     }
 
     /// Records whether reads of the store succeed at the gate with a datagram address.
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -104,6 +104,10 @@
     services: RefCell<HashMap<ServiceName, Rc<ServiceState>>>,
     /// Servers by their instance identifier.
     instances: RefCell<HashMap<Arc<str>, ServerLocation>>,
+    /// Notified when another gate has listed the gates that it knows.
+    pub(crate) gates_listed: Notify,
+    /// Whether the row of this gate was written to the store.
+    pub(crate) registered: Cell<bool>,
     /// Wakes the task that keeps this gate registered when the store was restored from a copy.
     pub(crate) store_restored: Notify,
     /// The newest known era of the store; `None` until the first read.
@@ -158,6 +162,8 @@
             server_feed: ServerFeed::default(),
             services: RefCell::new(HashMap::new()),
             instances: RefCell::new(HashMap::new()),
+            gates_listed: Notify::new(),
+            registered: Cell::new(false),
             store_restored: Notify::new(),
             store_era: Cell::new(None),
             servers_known: Cell::new(false),
@@ -208,6 +214,22 @@
         contacts.rank_of(settings.listen_gates, &settings.data_centre)
     }
 
+    /// Adds this gate to the known ones.
+    pub(crate) fn record_own_contact(&self) {
+        let own = self.gates.borrow().own().clone();
+        let capacity = self.settings().capacity();
+        let mut contacts = self.contacts.borrow_mut();
+        contacts.record(&own, capacity, self.clock.now());
+    }
+
+    /// Number of live gates in the data centre whose addresses sort before this one's.
+    pub(crate) fn live_rank(&self) -> usize {
+        let gates = self.gates.borrow();
+        let own = gates.own();
+        let live = gates.reports(self.clock.now());
+        live.filter(|(peers, _)| *peers < own.peers).count()
+    }
+
     /// Number of live gates in the data centre; at least one.
     pub(crate) fn near_gate_count(&self) -> u32 {
         let settings = self.settings();
@@ -314,7 +336,7 @@
     }
 
     /// Recomputes the shares of retries and connections for the present size of the fleet.
-    fn refresh_shares(&self) {
+    pub(crate) fn refresh_shares(&self) {
         let gates = self.fleet_size();
         let bounds = &self.settings().bounds;
         let routes = self.routes();
--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -45,6 +45,12 @@
     /// For each of them, when it was last heard and what it said, as a [`HeardState`].
     #[prost(uint32, repeated, tag = "11")]
     pub(crate) heard_states: Vec<u32>,
+    /// Whether the sender wants the list of gates that the receiver knows.
+    #[prost(bool, tag = "12")]
+    pub(crate) asks_gates: bool,
+    /// Gates that the sender knows.
+    #[prost(message, optional, tag = "13")]
+    pub(crate) gate_list: Option<GateListBody>,
     /// Load reports and sends since the last update.
     #[prost(message, optional, tag = "3")]
     pub(crate) load_update: Option<LoadUpdateBody>,
@@ -53,6 +59,36 @@
     pub(crate) servers: Option<ServerChangesBody>,
 }
 
+/// Gates that the sender knows, in any of the data centres, or a part of them.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct GateListBody {
+    /// Names of data centres, to which the gates refer.
+    #[prost(string, repeated, tag = "1")]
+    pub(crate) data_centres: Vec<String>,
+    #[prost(message, repeated, tag = "2")]
+    pub(crate) gates: Vec<ListedGateBody>,
+}
+
+/// One gate of a list.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct ListedGateBody {
+    /// Address at which it accepts callers: the IP address, then the port in two bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) callers: Vec<u8>,
+    /// Address for datagrams, in the same form.
+    #[prost(bytes = "vec", tag = "2")]
+    pub(crate) peers: Vec<u8>,
+    /// Index of its data centre in the names.
+    #[prost(uint32, tag = "3")]
+    pub(crate) data_centre: u32,
+    /// Size of its host, as a multiple of the smallest.
+    #[prost(uint32, tag = "4")]
+    pub(crate) capacity: u32,
+    /// Seconds since it was last heard of.
+    #[prost(uint32, tag = "5")]
+    pub(crate) age_s: u32,
+}
+
 /// What a gate said of itself, and how long ago, in one number: the milliseconds times four, plus one
 /// if the gate accepts callers, plus two if it reads the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/edge/src/drain.rs
+++ b/crates/edge/src/drain.rs
@@ -43,9 +43,15 @@
     let accept = grace * ACCEPT_PERCENT / 100;
     gates::send_goodbye(core, socket).await;
     let host = core.settings().host.clone();
-    let removing = timeout(REMOVE_TIMEOUT.min(accept), core.store.remove_gate(&host));
+    let removing = async {
+        if !core.registered.get() {
+            return true;
+        }
+        let removed = timeout(REMOVE_TIMEOUT.min(accept), core.store.remove_gate(&host)).await;
+        matches!(removed, Ok(Ok(())))
+    };
     let ((), removed) = tokio::join!(sleep(accept), removing);
-    if !matches!(removed, Ok(Ok(()))) {
+    if !removed {
         let pairs =
             slog::o!("table" => "gates", "cause" => "removal of this gate's row was not confirmed");
         let message = "write to the store failed";
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -19,6 +19,7 @@
 
 use crate::core::EdgeCore;
 use crate::datagrams::{Datagram, HeardState, ServerChangesBody};
+use crate::discovery::answer_question;
 use crate::feeds::PeerConfig;
 use crate::ports::{EdgeWire, FleetError, FleetStore, GateEntry};
 use crate::store_health::StoreHealth;
@@ -34,6 +35,17 @@
 /// Most gates that a heartbeat reports on, drawn at random if there are more; each takes 11 bytes.
 const MAX_HEARD_COUNT: usize = 80;
 
+/// Gates of each data centre that are registered in the store: the live ones with the lowest
+/// addresses. The others are found through them.
+const REGISTERED_COUNT: usize = 4;
+
+/// Time after its start at which a gate that was found by others first checks whether it has to be
+/// registered.
+const FIRST_REGISTER_DELAY: Duration = Duration::from_secs(2);
+
+/// Time between two checks of whether this gate has to be registered.
+const REGISTER_CHECK_PERIOD: Duration = Duration::from_secs(5);
+
 /// Shortest mean time between two reads of the gates in the store. A gate that starts reads them
 /// and sends a heartbeat to its data centre, so later reads only make up for lost datagrams.
 const STORE_READ_PERIOD: Duration = Duration::from_secs(40);
@@ -69,12 +81,23 @@
         }
     }
 
-    /// Reads the gates in the store, and registers this one if it is missing there.
+    /// Registers this gate in the store if it is one of those that have to be.
+    async fn register(&self) -> Result<(), FleetError> {
+        if !self.registered.get() && self.live_rank() < REGISTERED_COUNT {
+            self.store.write_gate(&self.own_entry()).await?;
+            self.registered.set(true);
+        }
+        Ok(())
+    }
+
+    /// Reads the gates in the store, and registers this one if it is missing there and has to be.
     pub(crate) async fn read_gates(&self) -> Result<(), FleetError> {
         let own = self.own_entry();
         let mut gates = self.store.read_gates().await?;
-        if !gates.iter().any(|gate| gate.matches_registration(&own)) {
-            self.store.write_gate(&own).await?;
+        let found = gates.iter().any(|gate| gate.matches_registration(&own));
+        self.registered.set(found);
+        if !found && self.live_rank() < REGISTERED_COUNT {
+            self.register().await?;
             // Reads again after the write: of two gates that register at once, at least one then
             // finds the other.
             gates = self.store.read_gates().await?;
@@ -84,7 +107,7 @@
         for gate in &gates {
             contacts.record(&gate.record, gate.capacity, now);
         }
-        contacts.set_store_gates_known();
+        contacts.set_gates_known();
         drop(contacts);
         self.refresh_services(now);
         Ok(())
@@ -145,29 +168,43 @@
     }
 }
 
-/// Keeps this gate registered in the store and reads the others periodically, and after a restore of
-/// the store, until the process ends.
+/// Keeps this gate registered in the store if it has to be, until the process ends. A registered gate
+/// also reads the others periodically, and after a restore of the store.
 pub(crate) async fn follow_store<W, S>(core: Rc<EdgeCore<W, S>>)
 where
     W: EdgeWire,
     S: FleetStore,
 {
     let mut health = StoreHealth::new(&core.log, "gates");
-    let mut already_read = core.contacts.borrow().knows_store_gates();
+    let mut read_at = core.clock.now();
+    let mut read_due = !core.contacts.borrow().knows_gates();
+    if !read_due {
+        // The gates that start at the same time have to hear of one another first.
+        sleep(FIRST_REGISTER_DELAY).await;
+    }
     loop {
-        if !already_read && let Err(error) = core.read_gates().await {
+        let called = if read_due {
+            core.read_gates().await
+        } else {
+            core.register().await
+        };
+        if let Err(error) = called {
             sleep(health.record_failure(&error, core.near_gate_count())).await;
             continue;
         }
-        already_read = false;
         health.record_success();
-        let period = store_read_period(core.fleet_size());
+        let now = core.clock.now();
+        if read_due {
+            read_at = now;
+        }
         // Random jitter, so that gates do not read at the same time.
-        let pause = period.mul_f64(rand::random_range(0.8..1.2));
-        if timeout(pause, core.store_restored.notified()).await.is_ok() {
+        let period = store_read_period(core.fleet_size()).mul_f64(rand::random_range(0.8..1.2));
+        let restored = timeout(REGISTER_CHECK_PERIOD, core.store_restored.notified()).await;
+        if restored.is_ok() {
             let spread = RESTORE_SPREAD_PER_GATE * core.fleet_size() as u32;
             sleep(spread.mul_f64(rand::random())).await;
         }
+        read_due = core.registered.get() && (restored.is_ok() || now.since(read_at) >= period);
     }
 }
 
@@ -209,7 +246,7 @@
             .emit_names(LogEvent::GateJoined, message, "gate", &joined);
         core.contacts.borrow_mut().remove_expired(now);
         core.refresh_group(now);
-        if full_count < FULL_HEARTBEAT_COUNT && core.contacts.borrow().knows_store_gates() {
+        if full_count < FULL_HEARTBEAT_COUNT && core.contacts.borrow().knows_gates() {
             full_count += 1;
             send_first_heartbeat(&core, &socket).await;
         } else {
@@ -239,7 +276,7 @@
 
 /// A heartbeat of this gate. A gate that is not ready announces itself as draining, so that callers
 /// are not told of it.
-fn own_heartbeat<W, S>(core: &EdgeCore<W, S>) -> Datagram {
+pub(crate) fn own_heartbeat<W, S>(core: &EdgeCore<W, S>) -> Datagram {
     let mut record = core.gates.borrow().own().clone();
     if !core.is_ready() {
         record.state = GateState::Draining;
@@ -299,14 +336,15 @@
             continue;
         };
         match handle_datagram(&core, &buffer[..length], sender) {
-            Ok(Some(relayed)) => {
+            Ok(DatagramReply::Relay(changes, peers)) => {
                 let datagram = Datagram {
-                    servers: Some(relayed.changes),
+                    servers: Some(changes),
                     ..core.config_datagram()
                 };
-                send_to(&socket, &relayed.peers, &datagram).await;
+                send_to(&socket, &peers, &datagram).await;
             }
-            Ok(None) => {}
+            Ok(DatagramReply::ListGates) => answer_question(&core, &socket, sender).await,
+            Ok(DatagramReply::Nothing) => {}
             Err(cause) => {
                 let pairs = slog::o!("sender" => sender.to_string(), "cause" => cause);
                 let message = "datagram cannot be decoded";
@@ -316,26 +354,39 @@
     }
 }
 
-/// Changes of servers that a gate passes on.
-struct RelayedChanges {
-    changes: ServerChangesBody,
-    peers: Vec<SocketAddr>,
+/// What a datagram makes a gate send.
+enum DatagramReply {
+    /// Nothing.
+    Nothing,
+    /// Changes of servers, which it passes on to these gates.
+    Relay(ServerChangesBody, Vec<SocketAddr>),
+    /// The gates that it knows, to the sender.
+    ListGates,
 }
 
-/// Applies what a datagram carries; returns the changes of servers that have to be passed on.
+/// Applies what a datagram carries; returns what this gate has to send in turn.
 fn handle_datagram<W, S>(
     core: &EdgeCore<W, S>,
     bytes: &[u8],
     sender: SocketAddr,
-) -> Result<Option<RelayedChanges>, String> {
+) -> Result<DatagramReply, String> {
     let datagram = Datagram::decode(bytes).map_err(|error| error.to_string())?;
     if let Some(update) = &datagram.load_update {
         core.apply_load_update(update);
     }
-    let relayed = datagram.servers.clone().and_then(|changes| {
-        let peers = core.receive_changes(&changes);
-        (!peers.is_empty()).then_some(RelayedChanges { changes, peers })
-    });
+    let mut reply = DatagramReply::Nothing;
+    if let Some(changes) = &datagram.servers {
+        let peers = core.receive_changes(changes);
+        if !peers.is_empty() {
+            reply = DatagramReply::Relay(changes.clone(), peers);
+        }
+    }
+    if let Some(list) = &datagram.gate_list {
+        core.apply_gate_list(list);
+    }
+    if datagram.asks_gates {
+        reply = DatagramReply::ListGates;
+    }
     if let Some(peer) = &datagram.peer {
         let message = decode_message(peer).map_err(|error| error.to_string())?;
         handle_message(core, message, datagram.capacity);
@@ -351,7 +402,7 @@
     });
     let mut contacts = core.contacts.borrow_mut();
     contacts.set_reads_store(sender, datagram.reads_store);
-    Ok(relayed)
+    Ok(reply)
 }
 
 /// Applies a heartbeat or a goodbye.
@@ -362,6 +413,10 @@
             let mut contacts = core.contacts.borrow_mut();
             contacts.record(&hello.record, capacity, now);
             drop(contacts);
+            if hello.record.data_centre != core.settings().data_centre {
+                // Gates of other data centres ask for gates, and send no heartbeats.
+                return;
+            }
             let gate = hello.record.gate.to_string();
             let outcome = core.gates.borrow_mut().record_heartbeat(hello.record, now);
             if matches!(
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -15,6 +15,7 @@
 mod contacts;
 mod core;
 mod datagrams;
+mod discovery;
 mod drain;
 mod entries;
 mod feeds;
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -90,7 +90,7 @@
     /// that does not know the others yet is not the reader.
     pub(crate) fn reader(&self, now: Moment) -> ReaderChoice {
         let defers =
-            !self.contacts.borrow().knows_store_gates() || now < self.server_feed.defer_until.get();
+            !self.contacts.borrow().knows_gates() || now < self.server_feed.defer_until.get();
         let gates = self.gates.borrow();
         let contacts = self.contacts.borrow();
         let own = gates.own();
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -44,6 +44,8 @@
     pub listen_metrics: SocketAddr,
     /// Address at which other gates send datagrams, and fetch lists over HTTP.
     pub listen_gates: SocketAddr,
+    /// Addresses like `listen_gates` of a few gates, which may be wrong or out of date.
+    pub seeds: Vec<SocketAddr>,
     /// Whether the whole fleet starts for the first time.
     pub new_fleet: bool,
     /// CPU share of the host, in cores.
--- a/crates/edge/src/startup.rs
+++ b/crates/edge/src/startup.rs
@@ -2,8 +2,8 @@
 //!
 //! When a whole fleet starts for the first time, each gate would read the same rows from the store,
 //! and each call costs money. So a few gates of each data centre read the store, and the others
-//! fetch from gates. A gate that starts in a running fleet may have callers waiting, so it reads
-//! the store at once.
+//! fetch from gates. A gate that starts in a running fleet fetches from gates too if one that its
+//! settings name answers; if not, it reads the store at once, as callers may be waiting.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,6 +16,7 @@
 
 use crate::config::{CONFIG_PATH, apply_peer_config, fetch, follow_configs};
 use crate::core::EdgeCore;
+use crate::discovery::{ask_seeds, exchange_lists};
 use crate::gates::{follow_store, send_first_heartbeat};
 use crate::ports::{EdgeWire, FleetStore};
 use crate::servers::{SERVERS_PATH, follow_servers};
@@ -31,6 +32,9 @@
 /// Longest time to get the list of servers from other gates before it is read from the store.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Time within which the gates of a new fleet start.
+const START_SPREAD: Duration = Duration::from_millis(400);
+
 /// Pause between two attempts to fetch from a gate.
 const FETCH_RETRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -44,11 +48,19 @@
     W: EdgeWire,
     S: FleetStore,
 {
-    if core.settings().new_fleet && register_and_read_gates(&core).await {
+    let new_fleet = core.settings().new_fleet;
+    let mut found = ask_seeds(&core, &socket).await;
+    if found && new_fleet {
+        // The first answers lack the gates that start a little later.
+        sleep(START_SPREAD).await;
+        found = ask_seeds(&core, &socket).await;
+    }
+    if found || new_fleet && register_and_read_gates(&core).await {
         send_first_heartbeat(&core, &socket).await;
         // After a timeout, the tasks below read the store.
         let _fetched = timeout(FETCH_TIMEOUT, fetch_from_gates(&core)).await;
     }
+    actix_rt::spawn(exchange_lists(Rc::clone(&core), Rc::clone(&socket)));
     actix_rt::spawn(follow_configs(Rc::clone(&core), Rc::clone(&socket)));
     actix_rt::spawn(follow_servers(Rc::clone(&core), socket));
     follow_store(core).await;
@@ -62,7 +74,9 @@
 {
     let own = core.own_entry();
     let written = timeout(REGISTER_TIMEOUT, core.store.write_gate(&own)).await;
-    matches!(written, Ok(Ok(()))) && core.read_gates().await.is_ok()
+    let registered = matches!(written, Ok(Ok(())));
+    core.registered.set(registered);
+    registered && core.read_gates().await.is_ok()
 }
 
 /// Fetches the list of servers and the configuration from gates of the data centre, unless this
@@ -72,11 +86,13 @@
     W: EdgeWire,
 {
     let settings = core.settings();
-    if core.near_rank() < START_READER_COUNT {
-        return;
+    if settings.new_fleet {
+        if core.near_rank() < START_READER_COUNT {
+            return;
+        }
+        let defer_until = core.clock.now() + DEFER_TIME;
+        core.server_feed.defer_until.set(defer_until);
     }
-    let defer_until = core.clock.now() + DEFER_TIME;
-    core.server_feed.defer_until.set(defer_until);
     loop {
         let mut peers = core.contacts.borrow().peers_of(&settings.data_centre);
         peers.retain(|peer| *peer != settings.listen_gates);
