Start a gate in a running fleet without waiting for gates that just started

All gates restart at once, find one another, and ask one another for a list of servers that none has, for 600 ms, before they read the store.

A gate that starts in a running fleet now asks all gates of its settings at the same time and waits 60 ms. It fetches from gates, for at most 200 ms, only if the one that answered has a list of servers.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -106,6 +106,8 @@
     instances: RefCell<HashMap<Arc<str>, ServerLocation>>,
     /// Notified when another gate has listed the gates that it knows.
     pub(crate) gates_listed: Notify,
+    /// Whether the gate that listed the gates last has a list of servers.
+    pub(crate) listed_by_reader: Cell<bool>,
     /// Whether the row of this gate was written to the store.
     pub(crate) registered: Cell<bool>,
     /// Wakes the task that keeps this gate registered when the store was restored from a copy.
@@ -163,6 +165,7 @@
             services: RefCell::new(HashMap::new()),
             instances: RefCell::new(HashMap::new()),
             gates_listed: Notify::new(),
+            listed_by_reader: Cell::new(false),
             registered: Cell::new(false),
             store_restored: Notify::new(),
             store_era: Cell::new(None),
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -24,11 +24,15 @@
 use crate::datagrams::{Datagram, GateListBody, ListedGateBody};
 use crate::gates::{own_heartbeat, send_to};
 
-/// Time to wait for the answer of one gate before another is asked.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
+/// Time for which a gate of a new fleet waits for answers: the gates that it asks may start 300 ms
+/// later.
+const NEW_FLEET_ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 
-/// Gates that are asked before the store is read.
-const QUESTION_COUNT: usize = 3;
+/// Questions of a gate of a new fleet, before it reads the store.
+const NEW_FLEET_QUESTION_COUNT: usize = 3;
+
+/// Time for which a gate that starts in a running fleet waits for answers; callers may be waiting.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(60);
 
 /// Times after the first answer at which a gate of a new fleet asks again: the gates start within
 /// 300 ms of one another, so the first answers lack most of them.
@@ -61,8 +65,9 @@
         datagrams
     }
 
-    /// Adds the gates that another one listed.
-    pub(crate) fn apply_gate_list(&self, body: &GateListBody) {
+    /// Adds the gates that another one listed; `lists_servers` says whether that gate has a list of
+    /// servers too.
+    pub(crate) fn apply_gate_list(&self, body: &GateListBody, lists_servers: bool) {
         let now = self.clock.now();
         let before = self.fleet_size();
         let mut contacts = self.contacts.borrow_mut();
@@ -74,6 +79,7 @@
         if self.fleet_size() != before {
             self.refresh_shares();
         }
+        self.listed_by_reader.set(lists_servers);
         self.gates_listed.notify_waiters();
     }
 
@@ -105,19 +111,61 @@
     }
 }
 
-/// Asks gates that the settings name for the others, one after another, until one answers; false if
-/// none does.
-pub(crate) async fn ask_seeds<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) -> bool {
-    core.record_own_contact();
+/// What the gates that the settings name answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SeedAnswer {
+    /// Nothing in time.
+    Nothing,
+    /// The gates that one of them knows. It has no list of servers itself, as it has just started too.
+    Gates,
+    /// The gates that one of them knows. It has a list of servers, so others have one too.
+    GatesOfRunningFleet,
+}
+
+/// Asks one gate that the settings name after another for the others, until one answers.
+pub(crate) async fn ask_seeds_of_new_fleet<W, S>(
+    core: &EdgeCore<W, S>,
+    socket: &UdpSocket,
+) -> SeedAnswer {
     let seeds = core.seeds();
-    for seed in seeds.sample(&mut rand::rng(), QUESTION_COUNT) {
-        let listed = core.gates_listed.notified();
-        ask(core, socket, *seed).await;
-        if timeout(ANSWER_TIMEOUT, listed).await.is_ok() {
-            return true;
+    for seed in seeds.sample(&mut rand::rng(), NEW_FLEET_QUESTION_COUNT) {
+        let answer = ask_all(core, socket, &[*seed], NEW_FLEET_ANSWER_TIMEOUT).await;
+        if answer != SeedAnswer::Nothing {
+            return answer;
         }
     }
-    false
+    SeedAnswer::Nothing
+}
+
+/// Asks all gates that the settings name for the others at the same time, and waits for the first
+/// answer.
+pub(crate) async fn ask_seeds<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) -> SeedAnswer {
+    ask_all(core, socket, &core.seeds(), ANSWER_TIMEOUT).await
+}
+
+/// Asks some gates, and waits for the first answer.
+async fn ask_all<W, S>(
+    core: &EdgeCore<W, S>,
+    socket: &UdpSocket,
+    gates: &[SocketAddr],
+    limit: Duration,
+) -> SeedAnswer {
+    core.record_own_contact();
+    if gates.is_empty() {
+        return SeedAnswer::Nothing;
+    }
+    let listed = core.gates_listed.notified();
+    for gate in gates {
+        ask(core, socket, *gate).await;
+    }
+    if timeout(limit, listed).await.is_err() {
+        return SeedAnswer::Nothing;
+    }
+    if core.listed_by_reader.get() {
+        SeedAnswer::GatesOfRunningFleet
+    } else {
+        SeedAnswer::Gates
+    }
 }
 
 /// Asks another gate from time to time, until the process ends.
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -382,7 +382,7 @@
         }
     }
     if let Some(list) = &datagram.gate_list {
-        core.apply_gate_list(list);
+        core.apply_gate_list(list, datagram.reads_store);
     }
     if datagram.asks_gates {
         reply = DatagramReply::ListGates;
--- a/crates/edge/src/startup.rs
+++ b/crates/edge/src/startup.rs
@@ -16,7 +16,7 @@
 
 use crate::config::{CONFIG_PATH, apply_peer_config, fetch, follow_configs};
 use crate::core::EdgeCore;
-use crate::discovery::{ask_seeds, exchange_lists};
+use crate::discovery::{SeedAnswer, ask_seeds, ask_seeds_of_new_fleet, exchange_lists};
 use crate::gates::{follow_store, send_first_heartbeat};
 use crate::ports::{EdgeWire, FleetStore};
 use crate::servers::{SERVERS_PATH, follow_servers};
@@ -32,6 +32,10 @@
 /// Longest time to get the list of servers from other gates before it is read from the store.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Longest time for which a gate that starts in a running fleet tries to get the list of servers from
+/// other gates before it reads the store; callers may be waiting.
+const RUNNING_FETCH_TIMEOUT: Duration = Duration::from_millis(200);
+
 /// Time within which the gates of a new fleet start.
 const START_SPREAD: Duration = Duration::from_millis(400);
 
@@ -48,17 +52,14 @@
     W: EdgeWire,
     S: FleetStore,
 {
-    let new_fleet = core.settings().new_fleet;
-    let mut found = ask_seeds(&core, &socket).await;
-    if found && new_fleet {
-        // The first answers lack the gates that start a little later.
-        sleep(START_SPREAD).await;
-        found = ask_seeds(&core, &socket).await;
-    }
-    if found || new_fleet && register_and_read_gates(&core).await {
-        send_first_heartbeat(&core, &socket).await;
-        // After a timeout, the tasks below read the store.
-        let _fetched = timeout(FETCH_TIMEOUT, fetch_from_gates(&core)).await;
+    if core.settings().new_fleet {
+        if find_new_fleet(&core, &socket).await {
+            send_first_heartbeat(&core, &socket).await;
+            // After a timeout, the tasks below read the store.
+            let _fetched = timeout(FETCH_TIMEOUT, fetch_from_gates(&core)).await;
+        }
+    } else if ask_seeds(&core, &socket).await == SeedAnswer::GatesOfRunningFleet {
+        let _fetched = timeout(RUNNING_FETCH_TIMEOUT, fetch_from_gates(&core)).await;
     }
     actix_rt::spawn(exchange_lists(Rc::clone(&core), Rc::clone(&socket)));
     actix_rt::spawn(follow_configs(Rc::clone(&core), Rc::clone(&socket)));
@@ -66,6 +67,21 @@
     follow_store(core).await;
 }
 
+/// Finds the other gates of a new fleet; false if neither they nor the store answer in time.
+async fn find_new_fleet<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket) -> bool
+where
+    W: EdgeWire,
+    S: FleetStore,
+{
+    if ask_seeds_of_new_fleet(core, socket).await == SeedAnswer::Nothing {
+        return register_and_read_gates(core).await;
+    }
+    // The first answers lack the gates that start a little later.
+    sleep(START_SPREAD).await;
+    ask_seeds_of_new_fleet(core, socket).await;
+    true
+}
+
 /// Registers this gate and reads the others; false if the store failed or the write took too long.
 async fn register_and_read_gates<W, S>(core: &EdgeCore<W, S>) -> bool
 where
