--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -181,6 +181,10 @@
             let now = core.clock.now();
             let mut table = service.table.borrow_mut();
             table.note_timeout(placement.server, now);
+            if let Some(server) = table.server(placement.server) {
+                // If its connection has gone silent for good, the others often have too.
+                core.pool.discard_idle(server.address);
+            }
             drop(table);
             state.may_have_run |= progress.may_have_sent();
             span.log_failed_send(&service, &placement, FailureKind::AnswerTimeout);
