--- a/crates/listen/src/accept.rs
+++ b/crates/listen/src/accept.rs
@@ -3,22 +3,27 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::MessageBody;
 use actix_http::{Request, Response, ServiceConfig};
-use futures_util::FutureExt;
 use ggs_model::Moment;
 use rustix::net::sockopt::set_socket_linger;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::sleep;
 
 use crate::{ListenError, ListenOptions, serve_connection};
 
 /// Pause after a failed accept, before the next one.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Time after the stop in which connections that had been established before are accepted. The system
+/// would reset them when the listener closes.
+const LAST_ACCEPT_TIME: Duration = Duration::from_millis(20);
+
 /// Pause between two checks whether all connections are closed.
 const CLOSED_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -73,7 +78,7 @@
     /// Waits until no connection is open.
     pub async fn all_closed(&self) {
         while self.count.get() > 0 {
-            tokio::time::sleep(CLOSED_CHECK_INTERVAL).await;
+            sleep(CLOSED_CHECK_INTERVAL).await;
         }
     }
 }
@@ -103,11 +108,16 @@
         };
         match accepted {
             Ok((stream, caller)) => spawn(stream, caller),
-            Err(_) => tokio::time::sleep(ACCEPT_RETRY_DELAY).await,
+            Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
         }
     }
-    while let Some(Ok((stream, caller))) = listener.accept().now_or_never() {
-        spawn(stream, caller);
+    let mut end = pin!(sleep(LAST_ACCEPT_TIME));
+    loop {
+        tokio::select! {
+            biased;
+            () = &mut end => return,
+            Ok((stream, caller)) = listener.accept() => spawn(stream, caller),
+        }
     }
 }
 
