--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -10,8 +10,8 @@
 use actix_http::Uri;
 use ggs_model::{Clock, Moment};
 use ggs_place::{
-    Placement, PlacementDecision, PlacementInput, PlacementQuery, ProbeStage, ServerKey,
-    ServerScope, decide_placement,
+    DRAWN_PER_PROBE, Placement, PlacementDecision, PlacementInput, PlacementQuery, ProbeStage,
+    ServerKey, ServerScope, decide_placement, prefer_connected,
 };
 use tokio::time::sleep;
 
@@ -155,7 +155,11 @@
     };
     let mut keys = {
         let mut table = service.table.borrow_mut();
-        table.stale_servers(count, scope, since, now)
+        let drawn = table.stale_servers(count * DRAWN_PER_PROBE, scope, since, now);
+        prefer_connected(drawn, count, |key| {
+            let server = table.server(*key);
+            server.is_some_and(|server| core.pool.has_idle(server.address, now))
+        })
     };
     let granted = core.probes.borrow_mut().take(keys.len(), now);
     keys.truncate(granted);
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -184,6 +184,15 @@
         }
     }
 
+    /// Whether there is an idle connection to `address` that has not reached its timeout; the server
+    /// may have closed it.
+    pub fn has_idle(&self, address: SocketAddr, now: Moment) -> bool {
+        let entries = self.state.entries.borrow();
+        let newest = entries.get(&address).and_then(|entry| entry.idle.last());
+        let idle_since = newest.and_then(|connection| connection.idle_since);
+        idle_since.is_some_and(|since| now.since(since) <= self.state.options.idle_timeout)
+    }
+
     /// Number of connections to `address`, both idle and in use.
     pub fn connection_count(&self, address: SocketAddr) -> usize {
         let entries = self.state.entries.borrow();
