--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -40,7 +40,7 @@
     [Duration::from_millis(500), Duration::from_millis(1_200)];
 
 /// Mean time between two questions of a gate.
-const QUESTION_PERIOD: Duration = Duration::from_secs(20);
+const QUESTION_PERIOD: Duration = Duration::from_mins(1);
 
 /// Most gates in one datagram; each takes up to 24 bytes.
 const MAX_LISTED_COUNT: usize = 45;
@@ -173,7 +173,8 @@
     for delay in START_QUESTION_DELAYS {
         sleep(delay).await;
         ask_one_of(&core, &socket, &core.seeds()).await;
-        ask_one_of(&core, &socket, &core.all_peers()).await;
+        // Traffic within the data centre is cheap.
+        ask_one_of(&core, &socket, &core.near_peers()).await;
     }
     loop {
         // Random jitter, so that gates do not ask at the same time.
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -32,8 +32,8 @@
 /// heard of the others, so that a heartbeat reaches a few hundred gates within three periods.
 const HEARTBEAT_FANOUT: usize = 16;
 
-/// Most gates that a heartbeat reports on, drawn at random if there are more; each takes 11 bytes.
-const MAX_HEARD_COUNT: usize = 80;
+/// Most gates that a heartbeat reports on: those heard of last.
+const MAX_HEARD_COUNT: usize = 48;
 
 /// Gates of each data centre that are registered in the store: the live ones with the lowest
 /// addresses. The others are found through them.
@@ -116,7 +116,7 @@
 
 impl<W, S> EdgeCore<W, S> {
     /// Addresses of the other known gates of the data centre.
-    fn near_peers(&self) -> Vec<SocketAddr> {
+    pub(crate) fn near_peers(&self) -> Vec<SocketAddr> {
         let settings = self.settings();
         let mut peers = self.contacts.borrow().peers_of(&settings.data_centre);
         peers.retain(|address| *address != settings.listen_gates);
@@ -128,14 +128,13 @@
         let now = self.clock.now();
         let gates = self.gates.borrow();
         let contacts = self.contacts.borrow();
-        let reports: Vec<_> = gates.reports(now).collect();
         let rest = MAX_DATAGRAM_BYTES.saturating_sub(datagram.encoded_len());
         let most = MAX_HEARD_COUNT.min(rest / HEARD_BYTES);
-        for (peers, report) in reports.sample(&mut rand::rng(), most) {
+        for (peers, report) in gates.reports(now).take(most) {
             let state = HeardState {
                 age: now.since(report.heard_at),
                 is_live: report.state == GateState::Live,
-                reads_store: contacts.reads_store(*peers),
+                reads_store: contacts.reads_store(peers),
             };
             datagram.heard_gates.push(report.incarnation.0);
             datagram.heard_states.push(state.into());
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -3,6 +3,7 @@
 //! The table decides which gates are advertised to callers. It limits how many gates are withdrawn,
 //! because a gate that is itself cut off must not withdraw all the others.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -267,18 +268,22 @@
         })
     }
 
-    /// Reports on the gates whose leases are current, with their addresses for other gates.
+    /// Reports on the gates whose leases are current, with their addresses for other gates. Those
+    /// heard of last come first, as other gates know the others from elsewhere.
     pub fn reports(&self, now: Moment) -> impl Iterator<Item = (SocketAddr, PeerReport)> {
         let entries = self.entries.values();
-        let entries = entries.filter(move |entry| !entry.withdrawn && !self.is_lost(entry, now));
-        entries.map(|entry| {
+        let entries = entries.filter(|entry| !entry.withdrawn && !self.is_lost(entry, now));
+        let reports = entries.map(|entry| {
             let report = PeerReport {
                 incarnation: entry.record.gate.incarnation,
                 state: entry.record.state,
                 heard_at: entry.last_heartbeat,
             };
             (entry.record.peers, report)
-        })
+        });
+        let mut reports: Vec<_> = reports.collect();
+        reports.sort_unstable_by_key(|(_, report)| Reverse(report.heard_at));
+        reports.into_iter()
     }
 
     /// Removes a gate that said goodbye, and keeps a tombstone for this incarnation; returns
--- a/crates/member/tests/reports.rs
+++ b/crates/member/tests/reports.rs
@@ -34,7 +34,7 @@
 const REPORTING: HeartbeatSchedule = HeartbeatSchedule {
     period: Duration::from_millis(500),
     fanout: 16,
-    reports: 80,
+    reports: 48,
 };
 
 /// A schedule with about as many datagrams in which each heartbeat goes to all other gates.
@@ -142,11 +142,8 @@
     /// Sends the heartbeat of a gate to as many others as the schedule says.
     fn send_heartbeat(&mut self, index: usize) {
         let reports = self.gates[index].table.reports(self.now);
-        let mut reports: Vec<_> = reports.map(|(_, report)| report).collect();
-        while reports.len() > self.schedule.reports {
-            let left_out = self.numbers.below(reports.len());
-            reports.swap_remove(left_out);
-        }
+        let reports = reports.take(self.schedule.reports);
+        let reports: Vec<_> = reports.map(|(_, report)| report).collect();
         let mut targets: Vec<usize> = (0..GATE_COUNT).filter(|other| *other != index).collect();
         while targets.len() > self.schedule.fanout {
             let left_out = self.numbers.below(targets.len());
