--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -37,8 +37,8 @@
 /// Time after which a caller may retry if its request failed after a server was chosen for it.
 const FAILED_RETRY_AFTER: Duration = Duration::from_millis(40);
 
-/// Returns the final answer to a request whose head had arrived at `arrived_at`. While the gate drains, the answer also closes the caller's
-/// connection.
+/// Returns the final answer to a request whose head had arrived at `arrived_at`. While the gate
+/// drains, the answer also closes the caller's connection.
 pub(crate) async fn serve<W, S>(
     core: &Rc<EdgeCore<W, S>>,
     mut request: Request,
--- a/crates/listen/src/connection.rs
+++ b/crates/listen/src/connection.rs
@@ -365,9 +365,8 @@
         if self.is_closing() || self.exchanges.len() >= self.options.overlap_limit {
             return false;
         }
-        let unread = self.exchanges.back();
-        let blocked = unread.is_some_and(|last| !last.overlaps || last.body.is_some());
-        if blocked {
+        let last = self.exchanges.back();
+        if last.is_some_and(|last| !last.overlaps || last.body.is_some()) {
             return false;
         }
         let Some(next) = self.waiting.take().or_else(|| self.decode_head()) else {
--- a/crates/listen/src/exchange.rs
+++ b/crates/listen/src/exchange.rs
@@ -64,7 +64,7 @@
 
     /// Whether the connection has to close after this exchange, apart from what others require.
     pub(crate) fn must_close(&self) -> bool {
-        // The caller would send the rest of the body, or the next request: which is not known.
+        // Whether the caller goes on with the body or with its next request is not known.
         let unread = self.body.is_some();
         let closes = match &self.stage {
             ExchangeStage::Rejected(_) => true,
