Send nothing new to servers that say in an answer that they leave

Cause: the header was forwarded and not read; only the row in the store and other gates' reads of it ended the use of a server.

Change: a notice in the answer to a request or a load probe takes the server out of use for that incarnation, whatever the store lists, and the gate tells the others of its data centre.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -242,6 +242,7 @@
     if request.answer_by <= now {
         return Err(SendFailure::unsent(FailureKind::DeadlinePassed));
     }
+    let started_ms = core.catalog.borrow().started_ms(&server.instance);
     progress.may_have_sent.set(true);
     let head = request.head_for(server, names, now);
     connection
@@ -254,6 +255,7 @@
     }
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         core.observe_answer_limit(&server.instance, &head.headers);
+        core.observe_leaving(&server.instance, started_ms, &head.headers);
     }
     let framing = AnswerFraming::of(&head, &request.method);
     let refused = head.headers.contains_key(&names.not_run);
--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -4,6 +4,9 @@
 //! During an outage of the store no row can be renewed, so live servers lose theirs too. Rows that
 //! are found missing after an outage, or after a restore of the store from a copy, are therefore kept
 //! for a grace period, in which live servers write theirs again.
+//!
+//! A server may also say in its answers that it is leaving, before its row says so or without its row
+//! ever saying so. Such a notice holds for that incarnation of the server, whatever the store lists.
 
 use std::hash::BuildHasher;
 use std::sync::Arc;
@@ -22,6 +25,10 @@
 /// Missed heartbeats after which the store drops a row.
 const LEASE_HEARTBEAT_COUNT: u32 = 3;
 
+/// Time for which the notice of a server that the store does not list is kept: its row may come back
+/// after an outage of the store.
+const NOTICE_RETENTION: Duration = Duration::from_mins(10);
+
 /// Seed of the digest's hash; the same at all gates, so that their digests can be compared.
 const DIGEST_SEED: u64 = 1;
 
@@ -35,6 +42,14 @@
     expires_at: Option<Moment>,
 }
 
+/// A server's statement that it is leaving.
+#[derive(Clone, Copy, Debug)]
+struct LeavingNotice {
+    /// Start of the incarnation that made it; see [`ServerRecord::started_ms`].
+    started_ms: Option<u64>,
+    noted_at: Moment,
+}
+
 /// What a page changed in the catalog.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CatalogDiff {
@@ -59,6 +74,8 @@
     entries: HashMap<Arc<str>, CatalogEntry>,
     /// Rows that cannot be used, with the cause that was reported.
     unreadable: HashMap<Arc<str>, String>,
+    /// Servers that said that they are leaving, by the key of their row.
+    leaving: HashMap<Arc<str>, LeavingNotice>,
     heartbeat: Duration,
     last_read_at: Option<Moment>,
     /// Era of the store at the last read.
@@ -73,6 +90,7 @@
         Self {
             entries: HashMap::new(),
             unreadable: HashMap::new(),
+            leaving: HashMap::new(),
             heartbeat,
             last_read_at: None,
             era: 0,
@@ -177,24 +195,67 @@
     /// The servers that can get new requests, with the moment until which each answers slowly after
     /// its start.
     pub fn usable(&self) -> impl Iterator<Item = (&ServerRecord, Moment)> {
-        let entries = self.entries.values();
-        let entries = entries.filter(|entry| !entry.record.draining);
-        entries.map(|entry| (&entry.record, entry.cold_until))
+        let entries = self.entries.iter();
+        let usable = entries.filter(|(key, entry)| self.is_usable(key, &entry.record));
+        usable.map(|(_, entry)| (&entry.record, entry.cold_until))
+    }
+
+    /// Whether the server of a row can get new requests.
+    fn is_usable(&self, key: &str, record: &ServerRecord) -> bool {
+        let notice = self.leaving.get(key);
+        let left = notice.is_some_and(|notice| notice.started_ms == record.started_ms);
+        !record.draining && !left
+    }
+
+    /// Start of the listed incarnation of a server; `None` if it is not known.
+    pub fn started_ms(&self, key: &str) -> Option<u64> {
+        self.entries.get(key)?.record.started_ms
+    }
+
+    /// Records that the incarnation of a server that started at `started_ms` said at `now` that it is
+    /// leaving. Returns whether this was not known.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use ggs_edge::ServerCatalog;
+    /// use ggs_model::Moment;
+    ///
+    /// let mut catalog = ServerCatalog::new(Duration::from_secs(1));
+    /// assert!(catalog.note_leaving("i-1", Some(7), Moment::ZERO));
+    /// assert!(!catalog.note_leaving("i-1", Some(7), Moment::ZERO));
+    /// assert!(catalog.note_leaving("i-1", Some(8), Moment::ZERO));
+    /// ```
+    pub fn note_leaving(&mut self, key: &str, started_ms: Option<u64>, now: Moment) -> bool {
+        let known = self.leaving.get(key);
+        if known.is_some_and(|notice| notice.started_ms == started_ms) {
+            return false;
+        }
+        let entries = &self.entries;
+        self.leaving.retain(|key, notice| {
+            entries.contains_key(key) || now.since(notice.noted_at) < NOTICE_RETENTION
+        });
+        let notice = LeavingNotice {
+            started_ms,
+            noted_at: now,
+        };
+        self.leaving.insert(Arc::from(key), notice);
+        true
     }
 
     /// Adds a row or replaces the known one.
     fn put(&mut self, key: Arc<str>, record: ServerRecord, now: Moment, diff: &mut CatalogDiff) {
         self.unreadable.remove(&key);
         let before = self.entries.get(&key).map(|entry| &entry.record);
-        let was_usable = before.is_some_and(|record| !record.draining);
+        let was_usable = before.is_some_and(|record| self.is_usable(&key, record));
+        let is_usable = self.is_usable(&key, &record);
         let same_incarnation = before.is_some_and(|before| before.started_ms == record.started_ms);
         // A delayed row of the same incarnation does not make a draining server usable again.
         if before.is_some_and(|before| before.draining) && same_incarnation && !record.draining {
             return;
         }
-        if was_usable && record.draining {
+        if was_usable && !is_usable {
             diff.dropped.push(Arc::clone(&key));
-        } else if !(record.draining || was_usable && same_incarnation) {
+        } else if is_usable && !(was_usable && same_incarnation) {
             diff.listed.push(Arc::clone(&key));
         }
         let entry = CatalogEntry {
--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -51,6 +51,9 @@
     /// Gates that the sender knows.
     #[prost(message, optional, tag = "13")]
     pub(crate) gate_list: Option<GateListBody>,
+    /// Servers that said to the sender that they are leaving.
+    #[prost(message, repeated, tag = "14")]
+    pub(crate) leaving: Vec<LeavingBody>,
     /// Load reports and sends since the last update.
     #[prost(message, optional, tag = "3")]
     pub(crate) load_update: Option<LoadUpdateBody>,
@@ -128,6 +131,16 @@
     pub(crate) age_ms: u64,
 }
 
+/// A server that said that it is leaving.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct LeavingBody {
+    #[prost(string, tag = "1")]
+    pub(crate) instance: String,
+    /// Start of the incarnation that said it; absent if it is not known.
+    #[prost(uint64, optional, tag = "2")]
+    pub(crate) started_ms: Option<u64>,
+}
+
 /// Load reports that the sender received in the last milliseconds, and requests that it sent.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct LoadUpdateBody {
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -392,6 +392,7 @@
     }
     core.apply_heard_gates(&datagram);
     core.apply_peer_limits(&datagram.limits);
+    core.apply_peer_notices(&datagram.leaving);
     let config_age = datagram.config_age_ms.map(Duration::from_millis);
     core.config_feed.note_peer(PeerConfig {
         address: sender,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -21,6 +21,7 @@
 mod feeds;
 mod gates;
 mod handle;
+mod leaving;
 mod limits;
 mod listen;
 mod load_updates;
--- a/crates/edge/src/load_updates.rs
+++ b/crates/edge/src/load_updates.rs
@@ -15,6 +15,7 @@
 use crate::core::EdgeCore;
 use crate::datagrams::{Datagram, LoadUpdateBody};
 use crate::gates::send_to;
+use crate::leaving::share_leaving_servers;
 use crate::ports::EdgeWire;
 use crate::service::ServiceState;
 
@@ -62,6 +63,7 @@
     loop {
         core.load_updates.added.notified().await;
         sleep(BATCH_DELAY).await;
+        share_leaving_servers(&core, &socket).await;
         let update = core.load_updates.body.take();
         if update.loads.is_empty() && update.sends.is_empty() {
             continue;
--- a/crates/edge/src/pending.rs
+++ b/crates/edge/src/pending.rs
@@ -1,24 +1,26 @@
-//! Load reports and sends of this gate that have not yet been sent to other gates.
+//! Load reports, sends and notices of leaving servers that have not yet been sent to other gates.
 //!
 //! The module `load_updates` sends them in datagrams, so that other gates know the load of a server
-//! without a probe.
+//! without a probe, and that it is leaving without an answer of its own.
 
 use std::cell::RefCell;
 
 use ggs_place::LoadSample;
 use tokio::sync::Notify;
 
-use crate::datagrams::{LoadBody, LoadUpdateBody};
+use crate::datagrams::{LeavingBody, LoadBody, LoadUpdateBody};
 
 /// Most load reports, and most sends, in one datagram; each takes 30 bytes. Further ones are
 /// dropped.
 const MAX_ENTRIES_COUNT: usize = 40;
 
-/// Load reports and sends for the next datagram.
+/// What the next datagrams contain.
 #[derive(Debug, Default)]
 pub(crate) struct PendingUpdates {
-    /// What the next datagram contains so far.
+    /// Load reports and sends for the next datagram.
     pub(crate) body: RefCell<LoadUpdateBody>,
+    /// Servers that are leaving, for all gates of the data centre.
+    pub(crate) leaving: RefCell<Vec<LeavingBody>>,
     /// Notified when something is added.
     pub(crate) added: Notify,
 }
@@ -33,6 +35,12 @@
         }
     }
 
+    /// Adds a server that said that it is leaving.
+    pub(crate) fn add_leaving(&self, server: LeavingBody) {
+        self.leaving.borrow_mut().push(server);
+        self.added.notify_one();
+    }
+
     /// Adds a request that this gate sent to a server instance.
     pub(crate) fn add_send(&self, instance: &str) {
         let mut body = self.body.borrow_mut();
--- a/crates/edge/src/ports.rs
+++ b/crates/edge/src/ports.rs
@@ -83,6 +83,9 @@
     /// Reads the requests per second that a server takes from all gates together; `None` if it names
     /// no limit.
     fn read_limit(&self, headers: &HeaderMap) -> Option<f64>;
+
+    /// Whether a server says in its headers that it is leaving.
+    fn says_leaving(&self, headers: &HeaderMap) -> bool;
 }
 
 /// A source of settings, which may change while the gate runs.
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -128,6 +128,7 @@
     if let Ok(host) = HeaderValue::from_str(&server.address.to_string()) {
         head.headers.insert(HOST, host);
     }
+    let started_ms = core.catalog.borrow().started_ms(&server.instance);
     if connection.send(head, &Bytes::new()).await.is_err() {
         return ProbeResult::Failed;
     }
@@ -143,6 +144,7 @@
     }
     let load = core.wire.read_load(&head.headers);
     core.observe_probe_limit(&server.instance, &head.headers);
+    core.observe_leaving(&server.instance, started_ms, &head.headers);
     if let Ok(connection) = connection.skip_body().await
         && connection.is_reusable()
         && !connection.has_unread_bytes()
--- a/crates/place/src/load_table.rs
+++ b/crates/place/src/load_table.rs
@@ -341,6 +341,13 @@
         }
     }
 
+    /// Removes a server, which gets no more requests until it is listed again.
+    pub fn remove(&mut self, key: ServerKey) {
+        self.entries.remove(&key);
+        self.near.retain(|near| *near != key);
+        self.far.retain(|far| *far != key);
+    }
+
     /// Requests of this gate to all servers that were started and have not ended.
     pub fn in_flight(&self) -> usize {
         let entries = self.entries.values();
