--- a/crates/edge/src/span.rs
+++ b/crates/edge/src/span.rs
@@ -68,6 +68,9 @@
             "has_slot" => placement.has_slot,
             "pace_percent" => placement.pace_percent,
             "cause" => kind.to_string(),
+            "method" => self.request.method.to_string(),
+            "target" => self.request.target.to_string(),
+            "body_bytes" => self.request.body.bytes.len(),
             "held_ms" => self.held_ms(),
         );
         let log = &self.core.log;
