Quarantine requests under which three servers ended

Cause: gates knew failures of servers only. Each repeat has an id of its own and may come through any gate, so no gate could tell it from a new request, and a gate's own retry ended a second server.

Change: when a connection is lost under a request and the server refuses a new one, the server has ended. After three, and if no server has answered it, the request is refused with 503 and the time left of one hour. A gate does not retry a request that needs one more crash for that.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -28,6 +28,8 @@
     NoMemory,
     /// No server is expected to answer in time, or none is left to try; the request has not run.
     NoCapacity,
+    /// Servers ended each time they ran the request; this time it has not run.
+    Quarantined,
     /// The deadline passed; the request has not run.
     LateUnsent,
     /// The deadline passed; the request may have run.
@@ -43,9 +45,11 @@
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoRoute => StatusCode::NOT_FOUND,
-            Self::NoConfig | Self::NoMemory | Self::NoCapacity | Self::LateUnsent => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfig
+            | Self::NoMemory
+            | Self::NoCapacity
+            | Self::Quarantined
+            | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
             Self::ServerFailed => StatusCode::BAD_GATEWAY,
         }
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -185,7 +185,8 @@
     let server = server.ok_or(SendFailure::unsent(FailureKind::NoServer))?;
     let guard = SendGuard::start(service, key);
     core.load_updates.add_send(&server.instance);
-    let answer = exchange(core, service, key, &server, request, progress).await;
+    let started_ms = core.catalog.borrow().started_ms(&server.instance);
+    let answer = exchange(core, service, key, &server, started_ms, request, progress).await;
     match answer {
         Ok(answer) => {
             let failed = answer.head.status.is_server_error();
@@ -204,7 +205,10 @@
                 .count_send(service.name.as_str(), failure.outcome());
             match failure.kind {
                 // The cause has often broken the other connections to this server too.
-                FailureKind::ConnectionLost => core.pool.discard_idle(server.address),
+                FailureKind::ConnectionLost => {
+                    core.pool.discard_idle(server.address);
+                    core.check_crash(&server, started_ms, request).await;
+                }
                 FailureKind::BadAnswer => core.pool.distrust(server.address, core.clock.now()),
                 _ => {}
             }
@@ -213,12 +217,14 @@
     }
 }
 
-/// Sends a request and reads the answer; the caller of this function limits the time.
+/// Sends a request to a server that started at `started_ms` and reads the answer; the caller of this
+/// function limits the time.
 async fn exchange<W, S>(
     core: &EdgeCore<W, S>,
     service: &ServiceState,
     key: ServerKey,
     server: &ListedServer,
+    started_ms: Option<u64>,
     request: &EdgeRequest,
     progress: &SendProgress,
 ) -> Result<EdgeAnswer, SendFailure>
@@ -242,7 +248,6 @@
     if request.answer_by <= now {
         return Err(SendFailure::unsent(FailureKind::DeadlinePassed));
     }
-    let started_ms = core.catalog.borrow().started_ms(&server.instance);
     progress.may_have_sent.set(true);
     let head = request.head_for(server, names, now);
     connection
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -16,12 +16,14 @@
 use ggs_model::{BootClock, Clock, GateId, Incarnation, Moment, ServiceName};
 use ggs_observe::{EventLog, LogEvent};
 use ggs_place::{ListedServer, ProbeBucket, ServerKey};
+use ggs_quarantine::CrashTable;
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_route::RouteTable;
 use tokio::sync::Notify;
 
 use crate::catalog::ServerCatalog;
 use crate::contacts::{GATE_LEASE, GateContacts};
+use crate::crashes::CrashNews;
 use crate::feeds::{ConfigFeed, ServerFeed};
 use crate::metrics::EdgeMetrics;
 use crate::pending::PendingUpdates;
@@ -89,6 +91,10 @@
     pub(crate) load_update_peers: RefCell<Vec<SocketAddr>>,
     /// Limits that servers named for all gates together.
     pub(crate) server_limits: RefCell<ServerLimits>,
+    /// Requests under which servers ended.
+    pub(crate) crashes: RefCell<CrashTable>,
+    /// What other gates have to learn of them.
+    pub(crate) crash_news: CrashNews,
     /// Live gates of the data centre that serve callers.
     pub(crate) serving: RefCell<Vec<GroupCandidate>>,
     /// Load probes per second that the gates of the data centre may send together.
@@ -156,6 +162,8 @@
             probes: RefCell::new(ProbeBucket::new(now)),
             load_update_peers: RefCell::new(Vec::new()),
             server_limits: RefCell::new(ServerLimits::default()),
+            crashes: RefCell::default(),
+            crash_news: CrashNews::default(),
             serving: RefCell::new(Vec::new()),
             near_probes: Cell::new(0.0),
             probe_share: Cell::new(0.0),
--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -54,6 +54,9 @@
     /// Servers that said to the sender that they are leaving.
     #[prost(message, repeated, tag = "14")]
     pub(crate) leaving: Vec<LeavingBody>,
+    /// Requests under which servers ended.
+    #[prost(message, repeated, tag = "15")]
+    pub(crate) crashes: Vec<CrashBody>,
     /// Load reports and sends since the last update.
     #[prost(message, optional, tag = "3")]
     pub(crate) load_update: Option<LoadUpdateBody>,
@@ -141,6 +144,20 @@
     pub(crate) started_ms: Option<u64>,
 }
 
+/// What the sender knows of a request under which servers ended.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct CrashBody {
+    /// Digest of the request, in 16 bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub(crate) request: Vec<u8>,
+    /// Server runs that ended under it.
+    #[prost(fixed64, repeated, tag = "2")]
+    pub(crate) runs: Vec<u64>,
+    /// Whether a server has answered it since the first of them ended.
+    #[prost(bool, tag = "3")]
+    pub(crate) answered: bool,
+}
+
 /// Load reports that the sender received in the last milliseconds, and requests that it sent.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct LoadUpdateBody {
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -300,6 +300,7 @@
         peer: Some(encode_message(message)),
         capacity: core.settings().capacity(),
         limits: core.encode_limits(),
+        crashes: core.encode_quarantine(),
         ..core.config_datagram()
     }
 }
@@ -393,6 +394,7 @@
     core.apply_heard_gates(&datagram);
     core.apply_peer_limits(&datagram.limits);
     core.apply_peer_notices(&datagram.leaving);
+    core.apply_peer_crashes(&datagram.crashes)?;
     let config_age = datagram.config_age_ms.map(Duration::from_millis);
     core.config_feed.note_peer(PeerConfig {
         address: sender,
--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -13,6 +13,7 @@
 
 use crate::config::follow_settings;
 use crate::core::EdgeCore;
+use crate::crashes::share_crashes;
 use crate::drain::drain;
 use crate::gates;
 use crate::listen::{
@@ -122,6 +123,7 @@
         clone(&core),
         Rc::clone(&socket),
     ));
+    actix_rt::spawn(share_crashes(clone(&core), Rc::clone(&socket)));
     actix_rt::spawn(synchronize(clone(&core), Rc::clone(&socket)));
     actix_rt::spawn(gates::send_heartbeats(clone(&core), Rc::clone(&socket)));
     actix_rt::spawn(gates::receive_datagrams(clone(&core), Rc::clone(&socket)));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod config;
 mod contacts;
 mod core;
+mod crashes;
 mod datagrams;
 mod discovery;
 mod drain;
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -3,6 +3,8 @@
 //! Only end-to-end headers are kept. Each send adds the time left, and the instance of the server
 //! that is to run the request, so that no other instance at its address runs it.
 
+use std::cell::OnceCell;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -14,6 +16,7 @@
 use ggs_limit::{ByteBudget, ByteLease};
 use ggs_model::Moment;
 use ggs_place::ListedServer;
+use ggs_quarantine::{RequestDigest, RequestIdentity};
 use ggs_route::ActiveRoute;
 use tokio::time::timeout;
 
@@ -61,6 +64,8 @@
 #[derive(Debug)]
 pub(crate) struct EdgeRequest {
     pub(crate) method: Method,
+    /// Address of the caller.
+    pub(crate) caller: Option<IpAddr>,
     /// Path and query, as the caller sent them.
     pub(crate) target: Uri,
     /// End-to-end headers, which are forwarded to servers.
@@ -74,6 +79,8 @@
     pub(crate) deadline: Moment,
     /// When the gate must have answered: the earlier of the deadline and the route's timeout.
     pub(crate) answer_by: Moment,
+    /// Computed when it is first needed.
+    digest: OnceCell<RequestDigest>,
 }
 
 impl EdgeRequest {
@@ -89,6 +96,7 @@
         let requested = requested_time(head, route, names);
         Self {
             method: head.method.clone(),
+            caller: head.peer_addr.map(|address| address.ip()),
             target: head.uri.clone(),
             headers: end_to_end_headers(&head.headers),
             body,
@@ -96,6 +104,7 @@
             read_at: now,
             deadline: now + requested,
             answer_by: now + timeout.min(requested),
+            digest: OnceCell::new(),
         }
     }
 
@@ -104,6 +113,28 @@
         self.headers.get(&names.request_id)
     }
 
+    /// The request id as the log shows it; empty if there is none.
+    pub(crate) fn id_text(&self, names: &WireHeaders) -> String {
+        let id = self.id(names).and_then(|value| value.to_str().ok());
+        id.unwrap_or_default().to_owned()
+    }
+
+    /// What identifies the request when it is sent again, which gives it another request id.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        *self.digest.get_or_init(|| {
+            let host = self.headers.get(header::HOST);
+            let host = host.and_then(|value| value.to_str().ok());
+            let identity = RequestIdentity {
+                caller: self.caller,
+                host: host.or_else(|| self.target.host()).unwrap_or_default(),
+                method: self.method.as_str(),
+                target: &self.target.to_string(),
+                body: &self.body.bytes,
+            };
+            identity.digest()
+        })
+    }
+
     /// The head for a send to `server`, with the time left at `now`.
     pub(crate) fn head_for(
         &self,
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -156,7 +156,10 @@
     let rule = routes.service(name.as_str());
     let health_path = rule.and_then(|rule| rule.health_path.parse::<Uri>().ok());
     let mut state = RelayState::default();
-    loop {
+    let quarantine_left = loop {
+        if let Some(left) = core.quarantine_left(request) {
+            break left;
+        }
         let found =
             place_request(core, &service, request, health_path.as_ref(), &state.tried).await;
         let placement = match found {
@@ -166,6 +169,10 @@
                 return failure_response(state, request, NO_SERVER, refusal.retry_after);
             }
         };
+        // It may have been quarantined while it was placed.
+        if let Some(left) = core.quarantine_left(request) {
+            break left;
+        }
         // A send is a retry only if an earlier one reached a server or may have.
         if state.arrivals > 0 && !service.retries.borrow_mut().take() {
             span.log_retry_denied(&service);
@@ -192,6 +199,9 @@
         };
         let failure = match result {
             Ok((answer, guard)) => {
+                if !answer.head.status.is_server_error() {
+                    core.note_answered(request);
+                }
                 observe_work(core, &service, request, &placement, sent_at, &answer);
                 if !should_retry_error(&answer, request, &state, &service) {
                     return forward_answer(answer, guard, request);
@@ -212,10 +222,12 @@
         if core.clock.now() >= request.answer_by {
             return failure_response(state, request, OUT_OF_TIME, FAILED_RETRY_AFTER);
         }
-        if !may_retry(&state, request) {
+        if !may_retry(&state, request) || !core.may_risk_server(request) {
             return failure_response(state, request, NO_SERVER, FAILED_RETRY_AFTER);
         }
-    }
+    };
+    span.log_quarantine(&service, quarantine_left);
+    failure_response(state, request, QUARANTINED, quarantine_left)
 }
 
 /// Whether a request may be sent to one more server, apart from the retry budget.
@@ -263,6 +275,12 @@
     not_run: LocalAnswer::NoCapacity,
 };
 
+/// Answers when servers ended each time they ran the request.
+const QUARANTINED: FailureAnswers = FailureAnswers {
+    may_have_run: LocalAnswer::ServerFailed,
+    not_run: LocalAnswer::Quarantined,
+};
+
 /// The final answer to a request that failed: the last error answer of a server if there is one,
 /// otherwise an answer of the gate itself.
 fn failure_response(
--- a/crates/edge/src/span.rs
+++ b/crates/edge/src/span.rs
@@ -4,6 +4,7 @@
 //! [`RequestSpan::end`] logs that the caller disconnected.
 
 use std::cell::{Cell, RefCell};
+use std::time::Duration;
 
 use actix_http::{Request, StatusCode};
 use ggs_model::Clock;
@@ -34,12 +35,10 @@
 {
     /// Starts the span of a request.
     pub(crate) fn start(core: &'a EdgeCore<W, S>, request: &'a EdgeRequest) -> Self {
-        let id = request.id(core.wire.headers());
-        let id = id.and_then(|value| value.to_str().ok()).unwrap_or_default();
         Self {
             core,
             request,
-            id: id.to_owned(),
+            id: request.id_text(core.wire.headers()),
             server: RefCell::default(),
             ended: Cell::new(false),
         }
@@ -110,6 +109,20 @@
         log.emit(LogEvent::RequestRefused, message, pairs);
     }
 
+    /// Logs that the request is not sent, as servers ended each time they ran it.
+    pub(crate) fn log_quarantine(&self, service: &ServiceState, left: Duration) {
+        let pairs = slog::o!(
+            "request" => self.id.clone(),
+            "service" => service.name.to_string(),
+            "retry_after_ms" => left.as_millis() as u64,
+            "held_ms" => self.held_ms(),
+            "left_ms" => self.left_ms(),
+        );
+        let log = &self.core.log;
+        let message = "request is in quarantine and is not sent";
+        log.emit(LogEvent::RequestRefused, message, pairs);
+    }
+
     /// Logs the final answer and counts it in the metrics.
     pub(crate) fn end(&self, status: StatusCode) {
         let pairs = slog::o!(
--- a/crates/listen/src/accept.rs
+++ b/crates/listen/src/accept.rs
@@ -149,7 +149,10 @@
         &mut stream,
         options,
         &config,
-        |request, arrived_at| Rc::clone(&handler).handle(request, arrived_at),
+        |mut request, arrived_at| {
+            request.head_mut().peer_addr = Some(caller);
+            Rc::clone(&handler).handle(request, arrived_at)
+        },
         |request| handler.can_overlap(request),
         wait_for_stop(stop),
     )
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -73,6 +73,8 @@
     /// A server named a limit on the requests that it takes from all gates together, or named none
     /// any more.
     ServerLimited = 309,
+    /// A server ended while it had a request.
+    ServerEnded = 310,
     /// A request failed with a verdict on whether it ran.
     RequestFailed = 400,
     /// A caller's connection failed, for example by a protocol error.
@@ -89,6 +91,8 @@
     /// A request was answered before its body was read: the body is too long, does not fit into the
     /// memory of the gate, or did not arrive in time.
     BodyNotRead = 406,
+    /// Servers ended each time they ran a request, which gets no more servers.
+    RequestQuarantined = 407,
     /// Heartbeats arrived from gates that are new or were unreachable.
     GateJoined = 500,
     /// Another gate announced that it stops.
@@ -131,6 +135,7 @@
             | Self::HostListShrunken
             | Self::ServerUnreadable
             | Self::StoreRestored
+            | Self::RequestQuarantined
             | Self::GateWithdrawn
             | Self::GatesLost
             | Self::GateWoke
@@ -154,6 +159,7 @@
             | Self::ServerLeaving
             | Self::StoreHistoryLost
             | Self::ServerLimited
+            | Self::ServerEnded
             | Self::GateJoined
             | Self::GateLeft
             | Self::GatesSeen => LogLevel::Info,
--- /dev/null
+++ b/crates/quarantine/src/lib.rs
@@ -0,0 +1,16 @@
+//! Requests that end the servers that run them, as one gate of a fleet knows them.
+//!
+//! A caller may send such a request again and again, at any gate, and each time a server ends. A
+//! request that was merely at the same server loses its connection in the same way, so one crash
+//! proves nothing. A [`CrashTable`] therefore collects the server runs that ended under a request at
+//! all gates, and quarantines the request when there are [`CRASH_LIMIT`] of them, unless a server has
+//! answered it.
+//!
+//! What gates tell one another is merged by union, so order and repetition do not matter. The crate
+//! reads no clock and does no I/O.
+
+mod digest;
+mod table;
+
+pub use digest::{RequestDigest, RequestIdentity, ServerRun};
+pub use table::{CRASH_LIMIT, CrashChange, CrashRecord, CrashTable};
