--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -124,9 +124,12 @@
         self.digests.get_or_init(|| {
             let host = self.headers.get(header::HOST);
             let host = host.and_then(|value| value.to_str().ok());
+            let host = host.or_else(|| self.target.host()).unwrap_or_default();
+            // Routes ignore the port and the case too.
+            let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
             let identity = RequestIdentity {
                 caller: self.caller,
-                host: host.or_else(|| self.target.host()).unwrap_or_default(),
+                host: &host.to_ascii_lowercase(),
                 method: self.method.as_str(),
                 path: self.target.path(),
                 query: self.target.query().unwrap_or_default(),
