Keep requests in quarantine in the store

Change: the gate that sees the last crash writes the request to a table of its own, and the reader of a data centre reads it once after a start in a running fleet; heartbeats carry it on. A gate that learns of the last crash from a sender that does not know all of them passes it on too.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -27,6 +27,7 @@
 use crate::feeds::{ConfigFeed, ServerFeed};
 use crate::metrics::EdgeMetrics;
 use crate::pending::PendingUpdates;
+use crate::quarantine::UnsavedQuarantine;
 use crate::service::ServiceState;
 use crate::settings::EdgeSettings;
 
@@ -95,6 +96,8 @@
     pub(crate) crashes: RefCell<CrashTable>,
     /// What other gates have to learn of them.
     pub(crate) crash_news: CrashNews,
+    /// Requests in quarantine that have to be written to the store.
+    pub(crate) unsaved_quarantine: UnsavedQuarantine,
     /// Live gates of the data centre that serve callers.
     pub(crate) serving: RefCell<Vec<GroupCandidate>>,
     /// Load probes per second that the gates of the data centre may send together.
@@ -164,6 +167,7 @@
             server_limits: RefCell::new(ServerLimits::default()),
             crashes: RefCell::default(),
             crash_news: CrashNews::default(),
+            unsaved_quarantine: UnsavedQuarantine::default(),
             serving: RefCell::new(Vec::new()),
             near_probes: Cell::new(0.0),
             probe_share: Cell::new(0.0),
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -139,6 +139,7 @@
         let message = "server ended while it had a request";
         self.log.emit(LogEvent::ServerEnded, message, pairs);
         for (digest, change) in changes {
+            self.log_quarantine(&digest, change, "crash");
             self.publish_change(digest, change);
         }
     }
@@ -155,32 +156,43 @@
         }
     }
 
-    /// Queues what is known of a request for all gates if it has changed.
+    /// Queues what is known of a request for all gates, and for the store, if it has changed.
     fn publish_change(&self, digest: RequestDigest, change: CrashChange) {
         let Some(record) = self.crashes.borrow().record_of(&digest) else {
             return;
         };
-        self.log_quarantine(&digest, change, "crash");
-        let is_news = record.answered || change == CrashChange::Quarantined;
-        if change != CrashChange::Unchanged {
-            let send_count = if is_news { NEWS_SEND_COUNT } else { 1 };
-            self.crash_news.add(record, send_count);
+        if change == CrashChange::Unchanged {
+            return;
         }
+        if record.runs.len() >= CRASH_LIMIT {
+            self.unsaved_quarantine.add(digest);
+        }
+        let is_news = record.answered || change == CrashChange::Quarantined;
+        let send_count = if is_news { NEWS_SEND_COUNT } else { 1 };
+        self.crash_news.add(record, send_count);
     }
 
     /// Records what another gate knows.
     pub(crate) fn apply_peer_crashes(&self, bodies: &[CrashBody]) -> Result<(), String> {
         for body in bodies {
             let record = CrashRecord::try_from(body)?;
-            let change = {
-                let mut crashes = self.crashes.borrow_mut();
-                crashes.merge(&record, self.clock.now())
-            };
-            self.log_quarantine(&record.request, change, "gate");
+            let change = self.merge_crashes(&record, "gate");
+            // The sender lacks a crash that this gate knows, so no gate may have told the others.
+            if change == CrashChange::Quarantined && record.runs.len() < CRASH_LIMIT {
+                self.publish_change(record.request, change);
+            }
         }
         Ok(())
     }
 
+    /// Adds what another gate or the store knows of a request.
+    pub(crate) fn merge_crashes(&self, record: &CrashRecord, source: &'static str) -> CrashChange {
+        let now = self.clock.now();
+        let change = self.crashes.borrow_mut().merge(record, now);
+        self.log_quarantine(&record.request, change, source);
+        change
+    }
+
     /// Logs the beginning of a quarantine.
     fn log_quarantine(&self, digest: &RequestDigest, change: CrashChange, source: &'static str) {
         if change != CrashChange::Quarantined {
--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -21,6 +21,7 @@
 };
 use crate::load_updates;
 use crate::ports::{EdgeWire, FleetStore, SettingsSource};
+use crate::quarantine::follow_quarantine;
 use crate::settings::EdgeSettings;
 use crate::startup::synchronize;
 
@@ -123,6 +124,7 @@
         clone(&core),
         Rc::clone(&socket),
     ));
+    actix_rt::spawn(follow_quarantine(clone(&core)));
     actix_rt::spawn(share_crashes(clone(&core), Rc::clone(&socket)));
     actix_rt::spawn(synchronize(clone(&core), Rc::clone(&socket)));
     actix_rt::spawn(gates::send_heartbeats(clone(&core), Rc::clone(&socket)));
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -33,6 +33,7 @@
 mod ports;
 mod probe;
 mod program;
+mod quarantine;
 mod request;
 mod serve;
 mod servers;
@@ -46,7 +47,7 @@
 pub use handle::{EdgeError, EdgeHandle, start};
 pub use ports::{
     EdgeWire, EntryAnswer, EntryQuery, FeedChange, FeedCursor, FeedPage, FeedValue, FleetError,
-    FleetStore, GateEntry, ServerRecord, SettingsSource, WireHeaders,
+    FleetStore, GateEntry, QuarantineRow, ServerRecord, SettingsSource, WireHeaders,
 };
 pub use program::run;
 pub use settings::{EdgeBounds, EdgeSettings};
--- a/crates/edge/src/ports.rs
+++ b/crates/edge/src/ports.rs
@@ -15,6 +15,7 @@
 use ggs_member::GateRecord;
 use ggs_model::{DataCentre, HostName, ServiceName};
 use ggs_place::LoadSample;
+use ggs_quarantine::{CrashRecord, RequestDigest};
 use ggs_route::RouteConfig;
 
 use crate::EdgeSettings;
@@ -185,6 +186,15 @@
     }
 }
 
+/// A request in quarantine, as gates keep it in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct QuarantineRow {
+    /// What is known of the request.
+    pub record: CrashRecord,
+    /// Wall-clock time at which the row was written, in milliseconds.
+    pub written_ms: u64,
+}
+
 /// Why a call to the store failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum FleetError {
@@ -254,6 +264,21 @@
     /// Removes the entry of the gate on `host`.
     fn remove_gate(&self, host: &HostName) -> impl Future<Output = Result<(), FleetError>>;
 
+    /// Reads the requests in quarantine.
+    fn read_quarantine(&self) -> impl Future<Output = Result<Vec<QuarantineRow>, FleetError>>;
+
+    /// Adds or replaces requests in quarantine.
+    fn write_quarantine(
+        &self,
+        rows: &[QuarantineRow],
+    ) -> impl Future<Output = Result<(), FleetError>>;
+
+    /// Removes requests from the store that are no longer in quarantine.
+    fn remove_quarantine(
+        &self,
+        requests: &[RequestDigest],
+    ) -> impl Future<Output = Result<(), FleetError>>;
+
     /// Sets the address of the store for later calls.
     fn set_address(&self, address: SocketAddr);
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -18,4 +18,4 @@
 mod table;
 
 pub use digest::{IDENTITY_COUNT, RequestDigest, RequestIdentity, ServerRun};
-pub use table::{CRASH_LIMIT, CrashChange, CrashRecord, CrashTable};
+pub use table::{CRASH_LIMIT, CrashChange, CrashRecord, CrashTable, QUARANTINE_TIME};
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -15,7 +15,7 @@
 const SUSPICION_TIME: Duration = Duration::from_mins(2);
 
 /// Time for which a quarantined request, or one that a server answered after a crash, is remembered.
-const QUARANTINE_TIME: Duration = Duration::from_hours(1);
+pub const QUARANTINE_TIME: Duration = Duration::from_hours(1);
 
 /// Most requests in the table. Beyond that, those whose time ends first are forgotten.
 const MAX_ENTRY_COUNT: usize = 4_096;
