Tell only a few gates of each crash

A crash takes requests with it that are harmless. Telling all gates of each of them would cost gates times requests datagrams: in a fleet of 473 gates about 1,900 for each lost request and its answer elsewhere.

--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -4,16 +4,20 @@
 //! The gates tell one another of each such crash, so that the repeats of a request count together
 //! whichever gates they come through. A request in quarantine is refused at once.
 //!
-//! News goes to all gates of the fleet; that of a quarantine is repeated, and heartbeats carry it to
-//! gates that start later.
+//! A crash is told to the trackers of its request only, a few gates that all gates find by hashing: a
+//! crash that takes many harmless requests with it must not cost a datagram to each gate for each of
+//! them. The tracker that knows enough crashes tells all gates of the quarantine. Heartbeats carry it
+//! to gates that start later.
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::hash::BuildHasher;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use foldhash::quality::FixedState;
 use ggs_model::Clock;
 use ggs_observe::LogEvent;
 use ggs_place::ListedServer;
@@ -21,7 +25,7 @@
 use rand::seq::IteratorRandom;
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::Notify;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use crate::core::EdgeCore;
 use crate::datagrams::{CrashBody, Datagram};
@@ -33,33 +37,55 @@
 /// once.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Time for which news is collected before it goes out.
-const BATCH_DELAY: Duration = Duration::from_millis(1);
+/// Gates that collect the crashes of a request. Some of them may be unreachable, and gates may differ
+/// for a moment in which gates they know.
+const TRACKER_COUNT: usize = 4;
 
-/// Most requests in one datagram; each takes about 60 bytes.
-const MAX_RECORD_COUNT: usize = 16;
+/// Seed of the hash that chooses trackers; the same at all gates.
+const TRACKER_SEED: u64 = 2;
 
 /// Requests in quarantine that a heartbeat carries, drawn at random if there are more.
 const HEARTBEAT_RECORD_COUNT: usize = 2;
 
-/// How often the news that a request is quarantined or harmless is sent, as datagrams may be lost.
-const NEWS_SEND_COUNT: u32 = 3;
+/// How often the news of a quarantine is sent, as datagrams may be lost.
+const QUARANTINE_SEND_COUNT: u32 = 2;
 
 /// Time between two sends of the same news.
 const NEWS_REPEAT_PERIOD: Duration = Duration::from_millis(300);
 
-/// News for all gates.
+/// The gates that news is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum NewsAudience {
+    /// The trackers of the request.
+    Trackers,
+    /// All gates of the fleet.
+    Fleet,
+}
+
+/// What other gates have to learn of a request.
+#[derive(Clone, Debug)]
+struct NewsItem {
+    /// Identity by which the trackers are chosen: the broadest, so that repeats that vary have the
+    /// same trackers.
+    request: RequestDigest,
+    /// What is known of the identities of the request.
+    records: Vec<CrashRecord>,
+    audience: NewsAudience,
+    /// How often it has still to be sent.
+    sends_left: u32,
+}
+
+/// News for other gates.
 #[derive(Debug, Default)]
 pub(crate) struct CrashNews {
-    /// What to send, and how often.
-    queue: RefCell<Vec<(CrashRecord, u32)>>,
+    queue: RefCell<Vec<NewsItem>>,
     added: Notify,
 }
 
 impl CrashNews {
-    /// Queues news for a number of sends.
-    fn add(&self, record: CrashRecord, send_count: u32) {
-        self.queue.borrow_mut().push((record, send_count));
+    /// Queues an item.
+    fn add(&self, item: NewsItem) {
+        self.queue.borrow_mut().push(item);
         self.added.notify_one();
     }
 }
@@ -138,10 +164,10 @@
         );
         let message = "server ended while it had a request";
         self.log.emit(LogEvent::ServerEnded, message, pairs);
-        for (digest, change) in changes {
-            self.log_quarantine(&digest, change, "crash");
-            self.publish_change(digest, change);
+        for (digest, change) in &changes {
+            self.log_quarantine(digest, *change, "crash");
         }
+        self.publish_changes(request.digests()[0], &changes);
     }
 
     /// Records that a server answered a request, which is harmless then if it was suspected.
@@ -150,38 +176,59 @@
             return;
         }
         let now = self.clock.now();
-        for digest in *request.digests() {
-            let change = self.crashes.borrow_mut().record_answer(digest, now);
-            self.publish_change(digest, change);
-        }
+        let changes = request.digests().map(|digest| {
+            let mut crashes = self.crashes.borrow_mut();
+            (digest, crashes.record_answer(digest, now))
+        });
+        self.publish_changes(request.digests()[0], &changes);
     }
 
-    /// Queues what is known of a request for all gates, and for the store, if it has changed.
-    fn publish_change(&self, digest: RequestDigest, change: CrashChange) {
-        let Some(record) = self.crashes.borrow().record_of(&digest) else {
-            return;
-        };
-        if change == CrashChange::Unchanged {
+    /// Queues what has changed for the gates that need it, and for the store. `request` is the
+    /// broadest of the identities.
+    fn publish_changes(&self, request: RequestDigest, changes: &[(RequestDigest, CrashChange)]) {
+        let crashes = self.crashes.borrow();
+        let changed = changes
+            .iter()
+            .filter(|(_, change)| *change != CrashChange::Unchanged);
+        let records: Vec<_> = changed
+            .filter_map(|(digest, _)| crashes.record_of(digest))
+            .collect();
+        if records.is_empty() {
             return;
         }
-        if record.runs.len() >= CRASH_LIMIT {
-            self.unsaved_quarantine.add(digest);
+        let mut audience = NewsAudience::Trackers;
+        for record in &records {
+            // A quarantine begins here, or an answer ends it.
+            if record.runs.len() >= CRASH_LIMIT {
+                self.unsaved_quarantine.add(record.request);
+                audience = NewsAudience::Fleet;
+            }
         }
-        let is_news = record.answered || change == CrashChange::Quarantined;
-        let send_count = if is_news { NEWS_SEND_COUNT } else { 1 };
-        self.crash_news.add(record, send_count);
+        self.crash_news.add(NewsItem {
+            request,
+            records,
+            audience,
+            sends_left: match audience {
+                NewsAudience::Trackers => 1,
+                NewsAudience::Fleet => QUARANTINE_SEND_COUNT,
+            },
+        });
     }
 
     /// Records what another gate knows.
     pub(crate) fn apply_peer_crashes(&self, bodies: &[CrashBody]) -> Result<(), String> {
+        let mut begun = Vec::new();
         for body in bodies {
             let record = CrashRecord::try_from(body)?;
             let change = self.merge_crashes(&record, "gate");
-            // The sender lacks a crash that this gate knows, so no gate may have told the others.
+            // The sender does not know of the quarantine, so this gate has to tell the others.
             if change == CrashChange::Quarantined && record.runs.len() < CRASH_LIMIT {
-                self.publish_change(record.request, change);
+                begun.push((record.request, change));
             }
         }
+        if let Some((request, _)) = begun.first() {
+            self.publish_changes(*request, &begun);
+        }
         Ok(())
     }
 
@@ -233,37 +280,53 @@
     }
 }
 
-/// Sends news of crashes to all gates of the fleet until the process ends.
+/// The gates of a list that collect the crashes of a request.
+fn choose_trackers(request: &RequestDigest, gates: &[SocketAddr]) -> Vec<SocketAddr> {
+    let state = FixedState::with_seed(TRACKER_SEED);
+    let mut gates = gates.to_vec();
+    gates.sort_by_cached_key(|gate| state.hash_one((request, gate)));
+    gates.truncate(TRACKER_COUNT);
+    gates
+}
+
+/// Sends news of crashes to other gates until the process ends.
 pub(crate) async fn share_crashes<W, S>(core: Rc<EdgeCore<W, S>>, socket: Rc<UdpSocket>)
 where
     W: 'static,
     S: 'static,
 {
     loop {
-        let news = core.crash_news.queue.take();
+        let mut news = core.crash_news.queue.take();
         if news.is_empty() {
             core.crash_news.added.notified().await;
-            sleep(BATCH_DELAY).await;
             continue;
         }
-        let peers = core.all_peers();
-        for part in news.chunks(MAX_RECORD_COUNT) {
-            let records = part.iter().map(|(record, _)| CrashBody::from(record));
-            let datagram = Datagram {
-                crashes: records.collect(),
-                reads_store: core.reads_store(),
-                ..Datagram::default()
-            };
-            send_to(&socket, &peers, &datagram).await;
+        for item in &mut news {
+            send_item(&core, &socket, item).await;
+            item.sends_left -= 1;
         }
-        let repeated = news.into_iter().filter(|(_, send_count)| *send_count > 1);
-        let repeated: Vec<_> = repeated
-            .map(|(record, send_count)| (record, send_count - 1))
-            .collect();
-        if !repeated.is_empty() {
-            core.crash_news.queue.borrow_mut().extend(repeated);
+        news.retain(|item| item.sends_left > 0);
+        if !news.is_empty() {
+            core.crash_news.queue.borrow_mut().extend(news);
             // News that is added meanwhile goes out at once, and the repeats with it.
             let _woken = timeout(NEWS_REPEAT_PERIOD, core.crash_news.added.notified()).await;
         }
     }
 }
+
+/// Sends an item to the gates that it is for.
+async fn send_item<W, S>(core: &EdgeCore<W, S>, socket: &UdpSocket, item: &NewsItem) {
+    let own = core.settings().listen_gates;
+    let gates = core.contacts.borrow().all_peers();
+    let mut audience = match item.audience {
+        NewsAudience::Trackers => choose_trackers(&item.request, &gates),
+        NewsAudience::Fleet => gates,
+    };
+    audience.retain(|gate| *gate != own);
+    let datagram = Datagram {
+        crashes: item.records.iter().map(CrashBody::from).collect(),
+        reads_store: core.reads_store(),
+        ..Datagram::default()
+    };
+    send_to(socket, &audience, &datagram).await;
+}
--- a/crates/edge/src/discovery.rs
+++ b/crates/edge/src/discovery.rs
@@ -92,7 +92,7 @@
     }
 
     /// All other known gates.
-    pub(crate) fn all_peers(&self) -> Vec<SocketAddr> {
+    fn all_peers(&self) -> Vec<SocketAddr> {
         let own = self.settings().listen_gates;
         let mut peers = self.contacts.borrow().all_peers();
         peers.retain(|peer| *peer != own);
