--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -11,17 +11,17 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
-use std::hash::BuildHasher;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use foldhash::quality::FixedState;
 use ggs_model::Clock;
 use ggs_observe::LogEvent;
 use ggs_place::ListedServer;
-use ggs_quarantine::{CRASH_LIMIT, CrashChange, CrashRecord, CrashTable, RequestDigest, ServerRun};
+use ggs_quarantine::{
+    CRASH_LIMIT, CrashChange, CrashRecord, CrashTable, RequestDigest, ServerRun, choose_trackers,
+};
 use rand::seq::IteratorRandom;
 use tokio::net::{TcpStream, UdpSocket};
 use tokio::sync::Notify;
@@ -37,13 +37,6 @@
 /// once.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Gates that collect the crashes of a request. Some of them may be unreachable, and gates may differ
-/// for a moment in which gates they know.
-const TRACKER_COUNT: usize = 4;
-
-/// Seed of the hash that chooses trackers; the same at all gates.
-const TRACKER_SEED: u64 = 2;
-
 /// Requests in quarantine that a heartbeat carries, drawn at random if there are more.
 const HEARTBEAT_RECORD_COUNT: usize = 2;
 
@@ -198,8 +191,7 @@
         }
         let mut audience = NewsAudience::Trackers;
         for record in &records {
-            // A quarantine begins here, or an answer ends it.
-            if record.runs.len() >= CRASH_LIMIT {
+            if record.is_for_all_gates() {
                 self.unsaved_quarantine.add(record.request);
                 audience = NewsAudience::Fleet;
             }
@@ -222,7 +214,7 @@
             let record = CrashRecord::try_from(body)?;
             let change = self.merge_crashes(&record, "gate");
             // The sender does not know of the quarantine, so this gate has to tell the others.
-            if change == CrashChange::Quarantined && record.runs.len() < CRASH_LIMIT {
+            if change == CrashChange::Quarantined && !record.is_for_all_gates() {
                 begun.push((record.request, change));
             }
         }
@@ -280,15 +272,6 @@
     }
 }
 
-/// The gates of a list that collect the crashes of a request.
-fn choose_trackers(request: &RequestDigest, gates: &[SocketAddr]) -> Vec<SocketAddr> {
-    let state = FixedState::with_seed(TRACKER_SEED);
-    let mut gates = gates.to_vec();
-    gates.sort_by_cached_key(|gate| state.hash_one((request, gate)));
-    gates.truncate(TRACKER_COUNT);
-    gates
-}
-
 /// Sends news of crashes to other gates until the process ends.
 pub(crate) async fn share_crashes<W, S>(core: Rc<EdgeCore<W, S>>, socket: Rc<UdpSocket>)
 where
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -16,6 +16,8 @@
 
 mod digest;
 mod table;
+mod trackers;
 
 pub use digest::{IDENTITY_COUNT, RequestDigest, RequestIdentity, ServerRun};
 pub use table::{CRASH_LIMIT, CrashChange, CrashRecord, CrashTable, QUARANTINE_TIME};
+pub use trackers::choose_trackers;
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -31,6 +31,26 @@
     pub answered: bool,
 }
 
+impl CrashRecord {
+    /// Whether all gates need the record: the quarantine of its request begins, or an answer ends it.
+    /// Others are for the trackers of the request only.
+    ///
+    /// ```
+    /// use ggs_quarantine::{CrashRecord, RequestDigest, ServerRun};
+    ///
+    /// let record = |runs: std::ops::Range<u64>| CrashRecord {
+    ///     request: RequestDigest([1; 16]),
+    ///     runs: runs.map(ServerRun).collect(),
+    ///     answered: false,
+    /// };
+    /// assert!(!record(0..2).is_for_all_gates());
+    /// assert!(record(0..3).is_for_all_gates());
+    /// ```
+    pub fn is_for_all_gates(&self) -> bool {
+        self.runs.len() >= CRASH_LIMIT
+    }
+}
+
 /// How a report changed what is known of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashChange {
--- /dev/null
+++ b/crates/quarantine/tests/fleet.rs
@@ -0,0 +1,204 @@
+//! A fleet in virtual time: the repeats of a request come through random gates, and each send ends a
+//! server. Datagrams are lost, gates are away or forget, and gates differ in which gates they know.
+
+use std::time::Duration;
+
+use ggs_model::Moment;
+use ggs_quarantine::{
+    CRASH_LIMIT, CrashChange, CrashTable, RequestDigest, ServerRun, choose_trackers,
+};
+use proptest::prelude::*;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+
+const REQUEST: RequestDigest = RequestDigest([7; 16]);
+
+/// Time between two repeats.
+const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Repeats of the request.
+const REPEAT_COUNT: u32 = 120;
+
+/// Time after the third crash from which sends are counted, and sends that are allowed then.
+const NEWS_TIME: Duration = Duration::from_secs(3);
+const ALLOWED_SENDS: usize = 3;
+
+/// How often gates tell all others of a quarantine, and how often a heartbeat does.
+const QUARANTINE_SEND_COUNT: usize = 2;
+const HEARTBEAT_REPEATS: u32 = 2;
+
+/// Gates that each heartbeat goes to.
+const HEARTBEAT_FANOUT: usize = 16;
+
+/// A fleet, and how badly its gates reach one another.
+#[derive(Clone, Copy, Debug)]
+struct FleetCase {
+    seed: u64,
+    gate_count: usize,
+    /// Datagrams that are lost.
+    lost_percent: u32,
+    /// Gates that a gate does not know.
+    unknown_percent: u32,
+    /// Gates that are known and not there all the while.
+    away_percent: u32,
+    /// Gates that forget all, between two repeats, per thousand.
+    restart_permille: u32,
+}
+
+/// The gates of a fleet.
+struct Fleet {
+    case: FleetCase,
+    rng: SmallRng,
+    tables: Vec<CrashTable>,
+    is_away: Vec<bool>,
+    /// When each gate last forgot all.
+    restarted_at: Vec<Option<Moment>>,
+    now: Moment,
+}
+
+/// A send of the request.
+#[derive(Clone, Copy, Debug)]
+struct FleetSend {
+    at: Moment,
+    /// Whether the gate had been running for [`NEWS_TIME`]; others are excused.
+    in_touch: bool,
+}
+
+impl Fleet {
+    fn new(case: FleetCase) -> Self {
+        let mut rng = SmallRng::seed_from_u64(case.seed);
+        let is_away = (0..case.gate_count)
+            .map(|gate| gate > 0 && rng.random_range(0..100) < case.away_percent);
+        Self {
+            case,
+            is_away: is_away.collect(),
+            rng,
+            tables: vec![CrashTable::default(); case.gate_count],
+            restarted_at: vec![None; case.gate_count],
+            now: Moment::ZERO,
+        }
+    }
+
+    fn happens(&mut self, percent: u32) -> bool {
+        self.rng.random_range(0..100) < percent
+    }
+
+    /// Sends what a gate knows to another, which passes on the beginning of a quarantine.
+    fn tell(&mut self, from: usize, to: usize) {
+        if from == to || self.is_away[to] || self.happens(self.case.lost_percent) {
+            return;
+        }
+        let Some(record) = self.tables[from].record_of(&REQUEST) else {
+            return;
+        };
+        let change = self.tables[to].merge(&record, self.now);
+        if change == CrashChange::Quarantined && !record.is_for_all_gates() {
+            self.publish(to);
+        }
+    }
+
+    /// Tells the gates that need it what has changed at a gate.
+    fn publish(&mut self, gate: usize) {
+        let record = self.tables[gate].record_of(&REQUEST).unwrap();
+        let all: Vec<usize> = (0..self.case.gate_count).collect();
+        let known: Vec<usize> = all
+            .into_iter()
+            .filter(|_| !self.happens(self.case.unknown_percent))
+            .collect();
+        let audience = if record.is_for_all_gates() {
+            known.repeat(QUARANTINE_SEND_COUNT)
+        } else {
+            choose_trackers(&REQUEST, &known)
+        };
+        for to in audience {
+            self.tell(gate, to);
+        }
+    }
+
+    /// Heartbeats of all gates that know of a quarantine, and restarts of some.
+    fn pass_time(&mut self) {
+        for _ in 0..HEARTBEAT_REPEATS {
+            for gate in 0..self.case.gate_count {
+                if self.tables[gate]
+                    .quarantine_left(&REQUEST, self.now)
+                    .is_none()
+                {
+                    continue;
+                }
+                for _ in 0..HEARTBEAT_FANOUT {
+                    let to = self.rng.random_range(0..self.case.gate_count);
+                    self.tell(gate, to);
+                }
+            }
+        }
+        for gate in 0..self.case.gate_count {
+            if self.rng.random_range(0..1_000) < self.case.restart_permille {
+                self.tables[gate] = CrashTable::default();
+                self.restarted_at[gate] = Some(self.now);
+            }
+        }
+        self.now = self.now + REPEAT_INTERVAL;
+    }
+
+    /// Plays the repeats; returns the sends of the request to servers.
+    fn play(&mut self) -> Vec<FleetSend> {
+        let mut sends = Vec::new();
+        for repeat in 0..REPEAT_COUNT {
+            let gate = self.rng.random_range(0..self.case.gate_count);
+            if self.is_away[gate] {
+                continue;
+            }
+            if self.tables[gate]
+                .quarantine_left(&REQUEST, self.now)
+                .is_none()
+            {
+                let restarted_at = self.restarted_at[gate];
+                sends.push(FleetSend {
+                    at: self.now,
+                    in_touch: restarted_at.is_none_or(|at| self.now.since(at) >= NEWS_TIME),
+                });
+                let run = ServerRun(u64::from(repeat));
+                self.tables[gate].record_crash(REQUEST, run, self.now);
+                self.publish(gate);
+            }
+            self.pass_time();
+        }
+        sends
+    }
+}
+
+fn cases() -> impl Strategy<Value = FleetCase> {
+    let parts = (
+        any::<u64>(),
+        2..130_usize,
+        0..20_u32,
+        0..10_u32,
+        0..40_u32,
+        0..20_u32,
+    );
+    parts.prop_map(|parts| {
+        let (seed, gate_count, lost_percent, unknown_percent, away_percent, restart_permille) =
+            parts;
+        FleetCase {
+            seed,
+            gate_count,
+            lost_percent,
+            unknown_percent,
+            away_percent,
+            restart_permille,
+        }
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(200))]
+
+    #[test]
+    fn a_fleet_stops_sending_a_request_that_ends_its_servers(case in cases()) {
+        let sends = Fleet::new(case).play();
+        prop_assume!(sends.len() >= CRASH_LIMIT);
+        let counted_from = sends[CRASH_LIMIT - 1].at + NEWS_TIME;
+        let late = sends.iter().filter(|send| send.in_touch && send.at > counted_from);
+        prop_assert!(late.count() <= ALLOWED_SENDS, "{sends:?}");
+    }
+}
