--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -6,6 +6,7 @@
 //! them to the other gates.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -27,14 +28,14 @@
 /// Requests whose rows have to be written.
 #[derive(Debug, Default)]
 pub(crate) struct UnsavedQuarantine {
-    requests: RefCell<Vec<RequestDigest>>,
+    requests: RefCell<BTreeSet<RequestDigest>>,
     added: Notify,
 }
 
 impl UnsavedQuarantine {
     /// Adds a request.
     pub(crate) fn add(&self, request: RequestDigest) {
-        self.requests.borrow_mut().push(request);
+        self.requests.borrow_mut().insert(request);
         self.added.notify_one();
     }
 }
@@ -45,7 +46,7 @@
     S: FleetStore,
 {
     /// Writes the rows of the given requests.
-    async fn write_quarantine(&self, requests: &[RequestDigest]) -> Result<(), FleetError> {
+    async fn write_quarantine(&self, requests: &BTreeSet<RequestDigest>) -> Result<(), FleetError> {
         let written_ms = wall_clock_ms();
         let rows: Vec<_> = {
             let crashes = self.crashes.borrow();
