--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -1,8 +1,8 @@
 //! Protobuf encoding of what the gates of a data centre send one another.
 //!
-//! A [`Datagram`] carries a heartbeat, a load update or changes of the server list. The whole list
-//! is fetched over HTTP instead, as a [`ServerListBody`]. During a rolling restart, gates of
-//! different versions exchange these messages, so tags and types are fixed.
+//! A [`Datagram`] carries a heartbeat, a load update, changes of the server list, or news of leaving
+//! servers or crashes. The whole list is fetched over HTTP instead, as a [`ServerListBody`]. During a
+//! rolling restart, gates of different versions exchange these messages, so tags and types are fixed.
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/edge/src/load_updates.rs
+++ b/crates/edge/src/load_updates.rs
@@ -2,7 +2,8 @@
 //!
 //! The rate of load probes to servers is limited over the whole fleet; datagrams within a data
 //! centre are not. So a gate passes each load report on to other gates, and tells them of each
-//! request that it sends, because the latest load report of that server does not count it yet.
+//! request that it sends, because the latest load report of that server does not count it yet. Notices
+//! of leaving servers go out with the same task.
 
 use std::rc::Rc;
 use std::time::Duration;
