Count connections to servers by how opening them ended

At a gate that is cut off from the servers and at one whose servers are overloaded the log shows the same cause, connect-failed. The counter tells refused, reset and unanswered connections apart.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -240,7 +240,8 @@
     let (permit, idle) = reservation.ok_or(SendFailure::unsent(FailureKind::NoConnection))?;
     let mut connection = match idle {
         Some(connection) => connection,
-        None => ServerConnection::open(server.address, core.pool.options(), &core.codec)
+        None => core
+            .open_connection(server.address)
             .await
             .map_err(|_| SendFailure::unsent(FailureKind::ConnectFailed))?,
     };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod body;
 mod catalog;
 mod config;
+mod connect;
 mod contacts;
 mod core;
 mod crashes;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -16,6 +16,8 @@
 use prometheus_client::metrics::histogram::Histogram;
 use prometheus_client::registry::{Registry, Unit};
 
+use crate::connect::ConnectOutcome;
+
 /// Labels of requests.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RequestLabels {
@@ -38,12 +40,19 @@
     outcome: &'static str,
 }
 
+/// Labels of connections to servers.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectLabels {
+    outcome: &'static str,
+}
+
 /// The metrics of one gate.
 pub(crate) struct EdgeMetrics {
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     latency: Family<PriorityLabels, Histogram>,
     sends: Family<SendLabels, Counter>,
+    connects: Family<ConnectLabels, Counter>,
     probes: Counter,
     probe_failures: Counter,
     store_failures: Counter,
@@ -65,12 +74,11 @@
         let mut registry = Registry::with_prefix("ggs_edge");
         let requests = Family::default();
         registry.register("requests", "Final answers to callers", requests.clone());
-        let new_latency: fn() -> Histogram = || Histogram::new(LATENCY_BUCKETS);
-        let latency = Family::new_with_constructor(new_latency);
-        let help = "Time from the head of a request to its final answer";
-        registry.register_with_unit("latency", help, Unit::Seconds, latency.clone());
         let sends = Family::default();
         registry.register("sends", "Sends to servers by how they ended", sends.clone());
+        let connects = Family::default();
+        let help = "Connections to servers by how opening them ended";
+        registry.register("connects", help, connects.clone());
         let probes = Counter::default();
         registry.register("asks", "Questions for the load of servers", probes.clone());
         let probe_failures = Counter::default();
@@ -85,11 +93,17 @@
         let servers = Gauge::default();
         let help = "Servers that take new requests";
         registry.register("servers", help, servers.clone());
+        // The histograms come last: collectors that cut off long texts then lose nothing else.
+        let new_latency: fn() -> Histogram = || Histogram::new(LATENCY_BUCKETS);
+        let latency = Family::new_with_constructor(new_latency);
+        let help = "Time from the head of a request to its final answer";
+        registry.register_with_unit("latency", help, Unit::Seconds, latency.clone());
         Self {
             registry,
             requests,
             latency,
             sends,
+            connects,
             probes,
             probe_failures,
             store_failures,
@@ -115,6 +129,14 @@
         self.sends.get_or_create(&labels).inc();
     }
 
+    /// Counts how opening a connection to a server ended.
+    pub(crate) fn count_connect(&self, outcome: ConnectOutcome) {
+        let labels = ConnectLabels {
+            outcome: outcome.into(),
+        };
+        self.connects.get_or_create(&labels).inc();
+    }
+
     /// Counts a load probe and whether it was answered in time.
     pub(crate) fn count_probe(&self, answered: bool) {
         self.probes.inc();
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use ggs_model::Clock;
 use ggs_place::{ListedServer, LoadSample, ServerKey};
-use ggs_relay::{ConnectionReuse, ServerConnection};
+use ggs_relay::ConnectionReuse;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
@@ -117,7 +117,7 @@
     };
     let connection = match idle {
         Some(connection) => Ok(connection),
-        None => ServerConnection::open(server.address, core.pool.options(), &core.codec).await,
+        None => core.open_connection(server.address).await,
     };
     let Ok(mut connection) = connection else {
         return ProbeResult::Failed;
