Send requests through another gate while the servers are not reached

Cause: the list of servers was the only way of a request. A gate knew that sends fail, went on to other servers of the same list until the time was over, and refused.

Requests then go to another gate, which handles them by the route, the time and the attempts that are left, and declines at once if it does not reach the servers either. It sends them to no third gate. Trials on new connections end the state. A request that no gate takes is refused at once.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -28,6 +28,8 @@
     NoMemory,
     /// No server is expected to answer in time, or none is left to try; the request has not run.
     NoCapacity,
+    /// No server could be reached; the request has not run.
+    Unreachable,
     /// Servers ended each time they ran the request; this time it has not run.
     Quarantined,
     /// The deadline passed; the request has not run.
@@ -38,6 +40,21 @@
     ServerFailed,
 }
 
+/// The end of a request that has no answer of a server to forward.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FinalFailure {
+    pub(crate) answer: LocalAnswer,
+    /// Time after which the caller may retry.
+    pub(crate) retry_after: Duration,
+}
+
+impl FinalFailure {
+    /// The answer to the caller.
+    pub(crate) fn response(self) -> Response<EdgeBody> {
+        self.answer.response(self.retry_after)
+    }
+}
+
 impl LocalAnswer {
     /// The status of the answer.
     pub(crate) const fn status(self) -> StatusCode {
@@ -48,6 +65,7 @@
             Self::NoConfig
             | Self::NoMemory
             | Self::NoCapacity
+            | Self::Unreachable
             | Self::Quarantined
             | Self::LateUnsent => StatusCode::SERVICE_UNAVAILABLE,
             Self::Late => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -9,14 +9,15 @@
 
 use actix_http::body::{BodySize, MessageBody};
 use actix_http::header::CONTENT_ENCODING;
-use actix_http::{Method, ResponseHead, StatusCode};
+use actix_http::{Method, RequestHead, ResponseHead, StatusCode};
 use bytes::Bytes;
 use ggs_limit::{ByteBudget, ByteLease};
 use ggs_model::{BootClock, Clock, RunVerdict};
 use ggs_place::{ListedServer, SendOutcome, ServerKey};
+use ggs_reach::ReachEvent;
 use ggs_relay::{
-    AnswerFraming, BodyError, ConnectionReuse, FailureKind, RelayBody, ServerConnection,
-    announced_size, read_whole,
+    AnswerFraming, BodyError, ConnectionPermit, ConnectionReuse, FailureKind, RelayBody,
+    ServerConnection, announced_size, read_whole,
 };
 use ggs_route::RepeatRule;
 
@@ -85,7 +86,7 @@
 
 impl SendFailure {
     /// A failure before anything was sent.
-    const fn unsent(kind: FailureKind) -> Self {
+    pub(crate) const fn unsent(kind: FailureKind) -> Self {
         Self {
             kind,
             verdict: RunVerdict::NotRun,
@@ -168,6 +169,11 @@
     pub(crate) fn may_have_sent(&self) -> bool {
         self.may_have_sent.get()
     }
+
+    /// Records that bytes of the request are sent from now on.
+    pub(crate) fn set_sent(&self) {
+        self.may_have_sent.set(true);
+    }
 }
 
 /// Sends a request to one server and reads its answer.
@@ -238,10 +244,10 @@
     };
     let reservation = core.pool.reserve(server.address, reuse, core.clock.now());
     let (permit, idle) = reservation.ok_or(SendFailure::unsent(FailureKind::NoConnection))?;
-    let mut connection = match idle {
+    let connection = match idle {
         Some(connection) => connection,
         None => core
-            .open_connection(server.address)
+            .open_connection(service, server.address)
             .await
             .map_err(|_| SendFailure::unsent(FailureKind::ConnectFailed))?,
     };
@@ -249,13 +255,15 @@
     if request.answer_by <= now {
         return Err(SendFailure::unsent(FailureKind::DeadlinePassed));
     }
-    progress.may_have_sent.set(true);
+    progress.set_sent();
     let head = request.head_for(server, names, now);
-    connection
-        .send(head, &request.body.bytes)
-        .await
-        .map_err(|_| SendFailure::sent(FailureKind::ConnectionLost))?;
-    let (connection, head) = read_matching_head(connection, request, names).await?;
+    let started = start_exchange(connection, head, request, names).await;
+    let event = match &started {
+        Err(failure) if failure.kind == FailureKind::ConnectionLost => ReachEvent::NotAnswered,
+        _ => ReachEvent::Answered,
+    };
+    core.note_reach(service, server.address, event);
+    let (connection, head) = started?;
     if let Some(sample) = core.wire.read_load(&head.headers) {
         core.record_load_report(service, key, sample);
     }
@@ -277,7 +285,32 @@
         }
         return Err(failure);
     }
-    if framing == AnswerFraming::UntilClose {
+    receive_answer(core, connection, permit, head, request).await
+}
+
+/// Sends a request on a connection, and reads the head of its answer.
+pub(crate) async fn start_exchange(
+    mut connection: ServerConnection,
+    head: RequestHead,
+    request: &EdgeRequest,
+    names: &WireHeaders,
+) -> Result<(ServerConnection, ResponseHead), SendFailure> {
+    connection
+        .send(head, &request.body.bytes)
+        .await
+        .map_err(|_| SendFailure::sent(FailureKind::ConnectionLost))?;
+    read_matching_head(connection, request, names).await
+}
+
+/// Reads the body of an answer, or as much of it as is needed before it can be forwarded.
+pub(crate) async fn receive_answer<W, S>(
+    core: &EdgeCore<W, S>,
+    connection: ServerConnection,
+    permit: ConnectionPermit,
+    head: ResponseHead,
+    request: &EdgeRequest,
+) -> Result<EdgeAnswer, SendFailure> {
+    if AnswerFraming::of(&head, &request.method) == AnswerFraming::UntilClose {
         let limit = request.deadline.since(core.clock.now());
         let body = RelayBody::until_close(connection, permit, limit);
         let body = read_close_delimited(&core.body_budget, body).await;
@@ -356,7 +389,7 @@
 }
 
 /// The failure that an answer counts as, by its head; `None` if it can be forwarded.
-fn check_answer(
+pub(crate) fn check_answer(
     head: &ResponseHead,
     framing: AnswerFraming,
     names: &WireHeaders,
--- a/crates/edge/src/body.rs
+++ b/crates/edge/src/body.rs
@@ -31,12 +31,13 @@
     _lease: Option<ByteLease>,
 }
 
-/// A body that is received from a server, with the guard of its send.
+/// A body that is received from a server or through another gate.
 #[derive(Debug)]
 pub(crate) struct StreamedBody {
     pub(crate) body: Box<RelayBody>,
-    /// Keeps the send counted as in flight until the body ends.
-    pub(crate) guard: SendGuard,
+    /// Keeps the send counted as in flight until the body ends; `None` for an answer through another
+    /// gate, which counts it itself.
+    pub(crate) guard: Option<SendGuard>,
 }
 
 impl EdgeBody {
@@ -76,8 +77,10 @@
             }
             Self::Streamed(streamed) => {
                 let polled = Pin::new(&mut streamed.body).poll_next(context);
-                if matches!(polled, Poll::Ready(Some(Err(_)))) {
-                    streamed.guard.set_outcome(SendOutcome::Failed);
+                if matches!(polled, Poll::Ready(Some(Err(_))))
+                    && let Some(guard) = &streamed.guard
+                {
+                    guard.set_outcome(SendOutcome::Failed);
                 }
                 polled
             }
--- a/crates/edge/src/connect.rs
+++ b/crates/edge/src/connect.rs
@@ -1,13 +1,15 @@
-//! Opens connections to servers and counts how that ends, so that a server that refuses can be told
-//! from a network that does not answer.
+//! Opens connections to servers. How that ends is counted, so that a server that refuses can be told
+//! from a network that does not answer, and shows whether this gate reaches the servers.
 
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 
+use ggs_reach::ReachEvent;
 use ggs_relay::ServerConnection;
 use strum::IntoStaticStr;
 
 use crate::core::EdgeCore;
+use crate::service::ServiceState;
 
 /// How opening a connection to a server ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
@@ -37,15 +39,21 @@
 }
 
 impl<W, S> EdgeCore<W, S> {
-    /// Opens a connection to a server.
+    /// Opens a connection to a server of a service.
     pub(crate) async fn open_connection(
         &self,
+        service: &ServiceState,
         address: SocketAddr,
     ) -> io::Result<ServerConnection> {
         let opened = ServerConnection::open(address, self.pool.options(), &self.codec).await;
         let outcome = opened.as_ref().err().map(ConnectOutcome::from);
         let outcome = outcome.unwrap_or(ConnectOutcome::Opened);
         self.metrics.count_connect(outcome);
+        let event = match outcome {
+            ConnectOutcome::Opened => ReachEvent::Opened,
+            _ => ReachEvent::NotOpened,
+        };
+        self.note_reach(service, address, event);
         opened
     }
 }
--- a/crates/edge/src/contacts.rs
+++ b/crates/edge/src/contacts.rs
@@ -9,6 +9,7 @@
 use foldhash::HashMap;
 use ggs_member::{GateRecord, GroupCandidate};
 use ggs_model::{DataCentre, Moment};
+use ggs_reach::DetourGate;
 
 /// Time without a heartbeat after which a gate is left out of entry answers. It covers three
 /// heartbeat periods.
@@ -171,6 +172,18 @@
         candidates.collect()
     }
 
+    /// The gates outside a data centre, as candidates for requests whose servers are not reached.
+    pub(crate) fn far_gates(&self, own: &DataCentre) -> impl Iterator<Item = DetourGate> {
+        let contacts = self.contacts.iter();
+        let far = contacts.filter(move |(_, contact)| contact.data_centre != *own);
+        far.map(|(address, contact)| DetourGate {
+            address: *address,
+            data_centre: contact.data_centre.clone(),
+            near: false,
+            capacity: contact.capacity,
+        })
+    }
+
     /// The datagram address of the gate with an address for callers.
     pub(crate) fn peer_of(&self, callers: SocketAddr) -> Option<SocketAddr> {
         let mut contacts = self.contacts.iter();
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -17,6 +17,7 @@
 use ggs_observe::{EventLog, LogEvent};
 use ggs_place::{ListedServer, ProbeBucket, ServerKey};
 use ggs_quarantine::CrashTable;
+use ggs_reach::ServerReach;
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_route::RouteTable;
 use tokio::sync::Notify;
@@ -52,6 +53,9 @@
 /// Longest time to open a connection to a server.
 const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(120);
 
+/// Most connections to another gate for requests that it takes for this one.
+const MAX_GATE_CONNECTION_COUNT: usize = 128;
+
 /// The service of a server, and the server's key in the service's load table.
 type ServerLocation = (Rc<ServiceState>, ServerKey);
 
@@ -72,6 +76,12 @@
     pub(crate) clock: BootClock,
     /// Connections to servers.
     pub(crate) pool: ConnectionPool,
+    /// Connections to other gates that take requests for this one.
+    pub(crate) gate_pool: ConnectionPool,
+    /// Whether this gate reaches any servers, of whatever service.
+    pub(crate) reach: RefCell<ServerReach>,
+    /// Requests that this gate has taken for others and that have not ended.
+    pub(crate) detours_in_flight: Cell<usize>,
     /// Bodies of requests and answers that are held in memory.
     pub(crate) body_budget: ByteBudget,
     /// Configuration of the codec that reads answers of servers and gates.
@@ -159,6 +169,12 @@
             metrics: EdgeMetrics::new(),
             clock,
             pool: ConnectionPool::new(options),
+            gate_pool: ConnectionPool::new(ConnectionOptions {
+                connection_limit: MAX_GATE_CONNECTION_COUNT,
+                ..options
+            }),
+            reach: RefCell::default(),
+            detours_in_flight: Cell::new(0),
             body_budget,
             codec: ServiceConfig::default(),
             routes: RefCell::new(None),
@@ -210,6 +226,16 @@
         service
     }
 
+    /// Number of servers that may get requests, of all services.
+    pub(crate) fn server_count(&self) -> usize {
+        self.instances.borrow().len()
+    }
+
+    /// All services.
+    pub(crate) fn services(&self) -> Vec<Rc<ServiceState>> {
+        self.services.borrow().values().map(Rc::clone).collect()
+    }
+
     /// Requests of this gate that are in flight at servers.
     pub(crate) fn requests_at_servers(&self) -> usize {
         let services = self.services.borrow();
--- a/crates/edge/src/drain.rs
+++ b/crates/edge/src/drain.rs
@@ -26,12 +26,23 @@
 /// Longest time to remove the gate's row from the store.
 const REMOVE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The listeners of a gate that drains, and what stops them.
+pub(crate) struct DrainListeners<'a> {
+    /// Connections of callers.
+    pub(crate) connections: &'a OpenConnections,
+    /// Stops the listener for callers' requests.
+    pub(crate) stop: &'a watch::Sender<bool>,
+    /// Connections of other gates.
+    pub(crate) gate_connections: &'a OpenConnections,
+    /// Stops the other listeners.
+    pub(crate) finish: &'a watch::Sender<bool>,
+}
+
 /// Drains a gate, and returns once its requests are finished or the grace period is almost over.
 pub(crate) async fn drain<W, S>(
     core: &Rc<EdgeCore<W, S>>,
     socket: &UdpSocket,
-    connections: &OpenConnections,
-    stop: &watch::Sender<bool>,
+    listeners: &DrainListeners<'_>,
 ) where
     W: EdgeWire,
     S: FleetStore,
@@ -57,10 +68,17 @@
         let message = "write to the store failed";
         core.log.emit(LogEvent::PlatformFailed, message, pairs);
     }
-    // The send fails only if no listener is left to stop.
-    let _no_receivers = stop.send(true);
+    // The sends fail only if no listener is left to stop.
+    let _no_receivers = listeners.stop.send(true);
     let rest = grace.saturating_sub(accept + STOP_MARGIN);
-    let finished = timeout(rest, connections.all_closed()).await.is_ok();
+    let finished = timeout(rest, async {
+        listeners.connections.all_closed().await;
+        // Requests of other gates are declined since the drain began, so few are left.
+        let _no_receivers = listeners.finish.send(true);
+        listeners.gate_connections.all_closed().await;
+    });
+    let finished = finished.await.is_ok();
+    let _no_receivers = listeners.finish.send(true);
     let pairs = slog::o!("finished" => finished);
     core.log.emit(LogEvent::GateStopped, "gate stops", pairs);
 }
--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -14,14 +14,15 @@
 use crate::config::follow_settings;
 use crate::core::EdgeCore;
 use crate::crashes::share_crashes;
-use crate::drain::drain;
+use crate::drain::{DrainListeners, drain};
 use crate::gates;
 use crate::listen::{
-    answer_entries, answer_metrics, answer_peer, answer_ready, serve_callers, serve_immediate,
+    answer_entries, answer_metrics, answer_ready, serve_callers, serve_gates, serve_immediate,
 };
 use crate::load_updates;
 use crate::ports::{EdgeWire, FleetStore, SettingsSource};
 use crate::quarantine::follow_quarantine;
+use crate::reach::try_servers;
 use crate::settings::EdgeSettings;
 use crate::startup::synchronize;
 
@@ -54,7 +55,10 @@
 pub struct EdgeHandle<W, S> {
     core: Rc<EdgeCore<W, S>>,
     socket: Rc<UdpSocket>,
+    /// Connections of callers.
     connections: OpenConnections,
+    /// Connections of other gates.
+    gate_connections: OpenConnections,
     /// Stops the listener for callers' requests.
     stop: watch::Sender<bool>,
     /// Stops the other listeners, which stay open during the drain.
@@ -89,6 +93,7 @@
     let (stop, stopped) = watch::channel(false);
     let (finish, finished) = watch::channel(false);
     let connections = OpenConnections::default();
+    let gate_connections = OpenConnections::default();
     let clone = Rc::clone;
     actix_rt::spawn(serve_callers(
         clone(&core),
@@ -108,11 +113,11 @@
         finished.clone(),
         answer_entries,
     ));
-    actix_rt::spawn(serve_immediate(
+    actix_rt::spawn(serve_gates(
         clone(&core),
         peers,
+        gate_connections.clone(),
         finished.clone(),
-        answer_peer,
     ));
     actix_rt::spawn(serve_immediate(
         clone(&core),
@@ -125,6 +130,7 @@
         Rc::clone(&socket),
     ));
     actix_rt::spawn(follow_quarantine(clone(&core)));
+    actix_rt::spawn(try_servers(clone(&core)));
     actix_rt::spawn(share_crashes(clone(&core), Rc::clone(&socket)));
     actix_rt::spawn(synchronize(clone(&core), Rc::clone(&socket)));
     actix_rt::spawn(gates::send_heartbeats(clone(&core), Rc::clone(&socket)));
@@ -135,6 +141,7 @@
         core,
         socket,
         connections,
+        gate_connections,
         stop,
         finish,
     })
@@ -166,9 +173,13 @@
     /// Drains the gate. Returns when its requests have finished, or shortly before the stop grace
     /// ends.
     pub async fn drain(self) {
-        drain(&self.core, &self.socket, &self.connections, &self.stop).await;
-        // A failure means that all listeners have already stopped.
-        let _no_receivers = self.finish.send(true);
+        let listeners = DrainListeners {
+            connections: &self.connections,
+            stop: &self.stop,
+            gate_connections: &self.gate_connections,
+            finish: &self.finish,
+        };
+        drain(&self.core, &self.socket, &listeners).await;
     }
 }
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,7 +5,8 @@
 //! it to the server that is expected to answer first. All durable state lies in the platform's
 //! store, reached through [`FleetStore`]; the platform's names and wire formats are behind
 //! [`EdgeWire`]. The gates of a data centre exchange heartbeats, load updates and changes of the
-//! server list in UDP datagrams.
+//! server list in UDP datagrams. A gate that does not reach the servers sends its requests through
+//! other gates.
 
 mod answer;
 mod attempt;
@@ -17,6 +18,8 @@
 mod core;
 mod crashes;
 mod datagrams;
+mod detour;
+mod detour_wire;
 mod discovery;
 mod drain;
 mod entries;
@@ -35,6 +38,7 @@
 mod probe;
 mod program;
 mod quarantine;
+mod reach;
 mod request;
 mod serve;
 mod servers;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -20,6 +20,8 @@
 use crate::body::EdgeBody;
 use crate::config::{CONFIG_AGE_HEADER, CONFIG_PATH};
 use crate::core::EdgeCore;
+use crate::detour::serve_gate;
+use crate::detour_wire::DETOUR_HEADER;
 use crate::entries::entry_answer;
 use crate::ports::EdgeWire;
 use crate::serve;
@@ -117,9 +119,50 @@
     body_or_status(StatusCode::NOT_FOUND, text.map(Bytes::from))
 }
 
+/// Answers other gates: their queries at once, and the requests that they send on by sending them to
+/// servers.
+struct GateHandler<W, S> {
+    core: Rc<EdgeCore<W, S>>,
+}
+
+impl<W, S> RequestHandler for GateHandler<W, S>
+where
+    W: EdgeWire,
+    S: 'static,
+{
+    type Body = EdgeBody;
+
+    async fn handle(self: Rc<Self>, request: Request, arrived_at: Moment) -> Response<EdgeBody> {
+        if request.head().headers.contains_key(DETOUR_HEADER) {
+            serve_gate(&self.core, request, arrived_at).await
+        } else {
+            answer_peer(&self.core, &request)
+        }
+    }
+
+    fn connection_ended(&self, caller: SocketAddr, result: &Result<(), ListenError>) {
+        log_connection_end(&self.core.log, caller, result);
+    }
+}
+
+/// Serves other gates until `stop` turns true. Connections that are open then finish the requests that
+/// they have read.
+pub(crate) async fn serve_gates<W, S>(
+    core: Rc<EdgeCore<W, S>>,
+    listener: TcpListener,
+    connections: OpenConnections,
+    stop: watch::Receiver<bool>,
+) where
+    W: EdgeWire,
+    S: 'static,
+{
+    let handler = Rc::new(GateHandler { core });
+    accept_connections(listener, listen_options(), connections, stop, handler).await;
+}
+
 /// Answers another gate with the configuration in force or the list of servers; 503 while this gate
 /// has none.
-pub(crate) fn answer_peer<W, S>(core: &EdgeCore<W, S>, request: &Request) -> Response<EdgeBody> {
+fn answer_peer<W, S>(core: &EdgeCore<W, S>, request: &Request) -> Response<EdgeBody> {
     let bytes = match request.path() {
         CONFIG_PATH => core.config_feed.bytes(),
         SERVERS_PATH => core.encode_server_list(),
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -40,19 +40,27 @@
     outcome: &'static str,
 }
 
-/// Labels of connections to servers.
+/// Labels of connections to servers, and of requests to other gates.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ConnectLabels {
+struct OutcomeLabels {
     outcome: &'static str,
 }
 
+/// Labels of requests of other gates.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct StatusLabels {
+    status: u16,
+}
+
 /// The metrics of one gate.
 pub(crate) struct EdgeMetrics {
     registry: Registry,
     requests: Family<RequestLabels, Counter>,
     latency: Family<PriorityLabels, Histogram>,
     sends: Family<SendLabels, Counter>,
-    connects: Family<ConnectLabels, Counter>,
+    connects: Family<OutcomeLabels, Counter>,
+    detours: Family<OutcomeLabels, Counter>,
+    taken: Family<StatusLabels, Counter>,
     probes: Counter,
     probe_failures: Counter,
     store_failures: Counter,
@@ -79,6 +87,18 @@
         let connects = Family::default();
         let help = "Connections to servers by how opening them ended";
         registry.register("connects", help, connects.clone());
+        let detours: Family<OutcomeLabels, Counter> = Family::default();
+        // Exported from the start, as a rise from zero raises an alarm.
+        let labels = OutcomeLabels {
+            outcome: "answered",
+        };
+        detours.get_or_create(&labels).inc_by(0);
+        let help = "Requests to other gates, as servers were not reached, by how they ended";
+        registry.register("detours", help, detours.clone());
+        let taken: Family<StatusLabels, Counter> = Family::default();
+        taken.get_or_create(&StatusLabels { status: 200 }).inc_by(0);
+        let help = "Requests of other gates by the status of the answer";
+        registry.register("detours_taken", help, taken.clone());
         let probes = Counter::default();
         registry.register("asks", "Questions for the load of servers", probes.clone());
         let probe_failures = Counter::default();
@@ -104,6 +124,8 @@
             latency,
             sends,
             connects,
+            detours,
+            taken,
             probes,
             probe_failures,
             store_failures,
@@ -131,12 +153,22 @@
 
     /// Counts how opening a connection to a server ended.
     pub(crate) fn count_connect(&self, outcome: ConnectOutcome) {
-        let labels = ConnectLabels {
+        let labels = OutcomeLabels {
             outcome: outcome.into(),
         };
         self.connects.get_or_create(&labels).inc();
     }
 
+    /// Counts how a request to another gate ended.
+    pub(crate) fn count_detour(&self, outcome: &'static str) {
+        self.detours.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
+    /// Counts an answer to a request of another gate.
+    pub(crate) fn count_taken(&self, status: u16) {
+        self.taken.get_or_create(&StatusLabels { status }).inc();
+    }
+
     /// Counts a load probe and whether it was answered in time.
     pub(crate) fn count_probe(&self, answered: bool) {
         self.probes.inc();
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -13,6 +13,7 @@
     DRAWN_PER_PROBE, Placement, PlacementDecision, PlacementInput, PlacementQuery, ProbeStage,
     ServerKey, ServerScope, decide_placement, prefer_connected,
 };
+use ggs_relay::ConnectionReuse;
 use tokio::time::sleep;
 
 use crate::core::EdgeCore;
@@ -163,5 +164,5 @@
     };
     let granted = core.probes.borrow_mut().take(keys.len(), now);
     keys.truncate(granted);
-    probe::probe_servers(core, service, &keys, path).await;
+    probe::probe_servers(core, service, &keys, path, ConnectionReuse::Any).await;
 }
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use ggs_model::Clock;
 use ggs_place::{ListedServer, LoadSample, ServerKey};
+use ggs_reach::ReachEvent;
 use ggs_relay::ConnectionReuse;
 use tokio::sync::Notify;
 use tokio::time::timeout;
@@ -49,11 +50,13 @@
 /// Probes servers and waits for their results, for at most [`PROBE_WAIT`].
 ///
 /// Probes that are still pending after that continue, and their results go into the load table.
+/// `reuse` says which idle connections may be used.
 pub(crate) async fn probe_servers<W, S>(
     core: &Rc<EdgeCore<W, S>>,
     service: &Rc<ServiceState>,
     keys: &[ServerKey],
     path: &Uri,
+    reuse: ConnectionReuse,
 ) where
     W: EdgeWire,
     S: 'static,
@@ -70,7 +73,17 @@
         let (core, service) = (Rc::clone(core), Rc::clone(service));
         let (round, key, path) = (Rc::clone(&round), *key, path.clone());
         actix_rt::spawn(async move {
-            let result = timeout(PROBE_TIMEOUT, probe_one(&core, &server, path)).await;
+            let connected = Cell::new(false);
+            let probe = probe_one(&core, &service, &server, path, reuse, &connected);
+            let result = timeout(PROBE_TIMEOUT, probe).await;
+            if result.is_err() {
+                let event = if connected.get() {
+                    ReachEvent::NotAnswered
+                } else {
+                    ReachEvent::NotOpened
+                };
+                core.note_reach(&service, server.address, event);
+            }
             record_result(&core, &service, key, &result.unwrap_or(ProbeResult::Failed));
             round.pending.set(round.pending.get() - 1);
             if round.pending.get() == 0 {
@@ -106,22 +119,30 @@
     }
 }
 
-/// Probes one server.
-async fn probe_one<W, S>(core: &EdgeCore<W, S>, server: &ListedServer, path: Uri) -> ProbeResult
+/// Probes one server; sets `connected` once a connection is open.
+async fn probe_one<W, S>(
+    core: &EdgeCore<W, S>,
+    service: &ServiceState,
+    server: &ListedServer,
+    path: Uri,
+    reuse: ConnectionReuse,
+    connected: &Cell<bool>,
+) -> ProbeResult
 where
     W: EdgeWire,
 {
     let now = core.clock.now();
-    let Some((permit, idle)) = core.pool.reserve(server.address, ConnectionReuse::Any, now) else {
+    let Some((permit, idle)) = core.pool.reserve(server.address, reuse, now) else {
         return ProbeResult::NoLoad;
     };
     let connection = match idle {
         Some(connection) => Ok(connection),
-        None => core.open_connection(server.address).await,
+        None => core.open_connection(service, server.address).await,
     };
     let Ok(mut connection) = connection else {
         return ProbeResult::Failed;
     };
+    connected.set(true);
     let mut head = RequestHead::default();
     head.method = Method::GET;
     head.uri = path;
@@ -129,12 +150,17 @@
         head.headers.insert(HOST, host);
     }
     let started_ms = core.catalog.borrow().started_ms(&server.instance);
-    if connection.send(head, &Bytes::new()).await.is_err() {
-        return ProbeResult::Failed;
-    }
-    let Ok(head) = connection.read_head().await else {
+    let sent = connection.send(head, &Bytes::new()).await.is_ok();
+    let head = if sent {
+        connection.read_head().await.ok()
+    } else {
+        None
+    };
+    let Some(head) = head else {
+        core.note_reach(service, server.address, ReachEvent::NotAnswered);
         return ProbeResult::Failed;
     };
+    core.note_reach(service, server.address, ReachEvent::Answered);
     let names = core.wire.headers();
     let instance = head.headers.get(&names.instance);
     let other_instance =
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -20,6 +20,7 @@
 use ggs_route::ActiveRoute;
 use tokio::time::timeout;
 
+use crate::detour_wire::DETOUR_HEADER;
 use crate::ports::WireHeaders;
 
 /// Hop-by-hop headers, which are not forwarded, in addition to those that `Connection` names.
@@ -53,6 +54,15 @@
     NoMemory,
 }
 
+/// From whom a gate got a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RequestOrigin {
+    /// A caller.
+    Caller,
+    /// Another gate, which does not reach the servers.
+    Gate,
+}
+
 /// The body of a caller's request, with the memory that it takes.
 #[derive(Debug)]
 pub(crate) struct HeldBody {
@@ -63,13 +73,14 @@
 /// A caller's request.
 #[derive(Debug)]
 pub(crate) struct EdgeRequest {
+    pub(crate) origin: RequestOrigin,
     pub(crate) method: Method,
     /// Address of the caller.
     pub(crate) caller: Option<IpAddr>,
     /// Path and query, as the caller sent them.
     pub(crate) target: Uri,
     /// End-to-end headers, which are forwarded to servers.
-    headers: HeaderMap,
+    pub(crate) headers: HeaderMap,
     pub(crate) body: HeldBody,
     pub(crate) route: Rc<ActiveRoute>,
     /// When the gate had read its head.
@@ -80,7 +91,7 @@
     /// When the gate must have answered: the earlier of the deadline and the route's timeout.
     pub(crate) answer_by: Moment,
     /// Computed when they are first needed.
-    digests: OnceCell<[RequestDigest; IDENTITY_COUNT]>,
+    pub(crate) digests: OnceCell<[RequestDigest; IDENTITY_COUNT]>,
 }
 
 impl EdgeRequest {
@@ -95,6 +106,7 @@
         let timeout = route.rule().timeout;
         let requested = requested_time(head, route, names);
         Self {
+            origin: RequestOrigin::Caller,
             method: head.method.clone(),
             caller: head.peer_addr.map(|address| address.ip()),
             target: head.uri.clone(),
@@ -157,6 +169,16 @@
         }
         head
     }
+
+    /// The head for a send to another gate, which `detour` tells how to handle the request.
+    pub(crate) fn head_for_gate(&self, detour: HeaderValue) -> RequestHead {
+        let mut head = RequestHead::default();
+        head.method = self.method.clone();
+        head.uri = self.target.clone();
+        head.headers = self.headers.clone();
+        head.headers.insert(DETOUR_HEADER, detour);
+        head
+    }
 }
 
 /// Time that the caller waits for its answer: that in its deadline header or, without one, the
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -12,17 +12,22 @@
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode, Uri};
 use ggs_model::{Clock, Moment, RunVerdict};
 use ggs_place::{Placement, ServerKey};
+use ggs_reach::{ReachEvent, ReachState};
 use ggs_relay::FailureKind;
 use ggs_route::{RepeatRule, RouteTable};
 use tokio::time::timeout;
 
-use crate::answer::LocalAnswer;
+use crate::answer::{FinalFailure, LocalAnswer};
 use crate::attempt::{self, AnswerBytes, EdgeAnswer, SendFailure, SendGuard, SendProgress};
 use crate::body::{EdgeBody, StreamedBody};
 use crate::core::EdgeCore;
+use crate::detour::{RequestEnd, send_through_gates};
 use crate::placement::place_request;
 use crate::ports::EdgeWire;
-use crate::request::{EdgeRequest, RequestFault, end_to_end_headers, read_body, requested_time};
+use crate::reach::TRIAL_PERIOD;
+use crate::request::{
+    EdgeRequest, RequestFault, RequestOrigin, end_to_end_headers, read_body, requested_time,
+};
 use crate::service::ServiceState;
 use crate::span::RequestSpan;
 
@@ -30,6 +35,9 @@
 /// server, or may have, count towards the `attempts` of the route.
 const MAX_SENDS_COUNT: usize = 6;
 
+/// Sends that end without a connection before a request goes through another gate, if one takes it.
+const MAX_UNOPENED_COUNT: u32 = 2;
+
 /// Time after which a caller may retry if the gate has no configuration yet, or no memory for the
 /// body of its request: within it, some of the bodies that the gate holds have been sent.
 const UNREAD_RETRY_AFTER: Duration = Duration::from_millis(250);
@@ -51,7 +59,8 @@
     let mut response = match prepare(core, &mut request, arrived_at).await {
         Ok((routes, request)) => {
             let span = RequestSpan::start(core, &request);
-            let response = relay(core, &routes, &request, &span).await;
+            let end = relay(core, &routes, &request, &span).await;
+            let response = end.unwrap_or_else(FinalFailure::response);
             span.end(response.status());
             response
         }
@@ -131,28 +140,38 @@
     tried: Vec<ServerKey>,
     /// Sends that reached a server or may have reached it.
     arrivals: u32,
+    /// Sends that ended as no connection could be opened.
+    unopened: u32,
     /// Whether it may have run at a server.
     may_have_run: bool,
+    /// Whether other gates have declined to take it.
+    gates_declined: bool,
     /// The last error answer of a server, which is forwarded if no retry brings another answer.
     error_answer: Option<(EdgeAnswer, SendGuard)>,
 }
 
-/// Sends a request to servers until there is a final answer.
-async fn relay<W, S>(
+/// Sends a request to servers until there is a final answer, or through another gate if this one does
+/// not reach the servers.
+pub(crate) async fn relay<W, S>(
     core: &Rc<EdgeCore<W, S>>,
     routes: &RouteTable,
     request: &EdgeRequest,
     span: &RequestSpan<'_, W, S>,
-) -> Response<EdgeBody>
+) -> RequestEnd
 where
     W: EdgeWire,
     S: 'static,
 {
     let Some(name) = request.route.next_service() else {
-        return LocalAnswer::NoRoute.response(Duration::ZERO);
+        return Err(FinalFailure {
+            answer: LocalAnswer::NoRoute,
+            retry_after: Duration::ZERO,
+        });
     };
     let service = core.service(name);
-    service.retries.borrow_mut().record_request();
+    if request.origin == RequestOrigin::Caller {
+        service.retries.borrow_mut().record_request();
+    }
     let rule = routes.service(name.as_str());
     let health_path = rule.and_then(|rule| rule.health_path.parse::<Uri>().ok());
     let mut state = RelayState::default();
@@ -160,23 +179,38 @@
         if let Some(left) = core.quarantine_left(request) {
             break left;
         }
+        let reach = core.reach_state(&service);
+        if (reach >= ReachState::Silent || state.unopened >= MAX_UNOPENED_COUNT)
+            && let Some(end) = detour(core, &service, request, &mut state, span).await
+        {
+            return end;
+        }
+        if reach == ReachState::Cut {
+            span.log_unreachable(&service);
+            return end_failed(state, request, NOT_REACHED, TRIAL_PERIOD);
+        }
         let found =
             place_request(core, &service, request, health_path.as_ref(), &state.tried).await;
         let placement = match found {
             Ok(placement) => placement,
             Err(refusal) => {
                 span.log_refusal(&service, &refusal);
-                return failure_response(state, request, NO_SERVER, refusal.retry_after);
+                return end_failed(state, request, NO_SERVER, refusal.retry_after);
             }
         };
         // It may have been quarantined while it was placed.
         if let Some(left) = core.quarantine_left(request) {
             break left;
         }
-        // A send is a retry only if an earlier one reached a server or may have.
-        if state.arrivals > 0 && !service.retries.borrow_mut().take() {
+        if reach == ReachState::OpenConnections
+            && !has_open_connection(core, &service, placement.server)
+            && let Some(end) = detour(core, &service, request, &mut state, span).await
+        {
+            return end;
+        }
+        if !take_retry(&service, &state) {
             span.log_retry_denied(&service);
-            return failure_response(state, request, NO_SERVER, FAILED_RETRY_AFTER);
+            return end_failed(state, request, NO_SERVER, FAILED_RETRY_AFTER);
         }
         span.set_server(&service, &placement);
         let sent_at = core.clock.now();
@@ -185,17 +219,10 @@
         let send = attempt::send(core, &service, placement.server, request, &progress);
         let result = timeout(time_left, send).await;
         let Ok(result) = result else {
-            let now = core.clock.now();
-            let mut table = service.table.borrow_mut();
-            table.note_timeout(placement.server, now);
-            if let Some(server) = table.server(placement.server) {
-                // If its connection has gone silent for good, the others often have too.
-                core.pool.discard_idle(server.address);
-            }
-            drop(table);
+            note_answer_timeout(core, &service, placement.server, &progress);
             state.may_have_run |= progress.may_have_sent();
             span.log_failed_send(&service, &placement, FailureKind::AnswerTimeout);
-            return failure_response(state, request, OUT_OF_TIME, FAILED_RETRY_AFTER);
+            return end_failed(state, request, OUT_OF_TIME, FAILED_RETRY_AFTER);
         };
         let failure = match result {
             Ok((answer, guard)) => {
@@ -204,7 +231,7 @@
                 }
                 observe_work(core, &service, request, &placement, sent_at, &answer);
                 if !should_retry_error(&answer, request, &state, &service) {
-                    return forward_answer(answer, guard, request);
+                    return forward_answer(answer, Some(guard), request);
                 }
                 state.error_answer = Some((answer, guard));
                 SendFailure {
@@ -218,16 +245,82 @@
         span.log_failed_send(&service, &placement, failure.kind);
         state.tried.push(placement.server);
         state.arrivals += u32::from(failure.arrived);
+        state.unopened += u32::from(failure.kind == FailureKind::ConnectFailed);
         state.may_have_run |= failure.verdict != RunVerdict::NotRun;
         if core.clock.now() >= request.answer_by {
-            return failure_response(state, request, OUT_OF_TIME, FAILED_RETRY_AFTER);
+            return end_failed(state, request, OUT_OF_TIME, FAILED_RETRY_AFTER);
         }
         if !may_retry(&state, request) || !core.may_risk_server(request) {
-            return failure_response(state, request, NO_SERVER, FAILED_RETRY_AFTER);
+            return end_failed(state, request, NO_SERVER, FAILED_RETRY_AFTER);
         }
     };
     span.log_quarantine(&service, quarantine_left);
-    failure_response(state, request, QUARANTINED, quarantine_left)
+    end_failed(state, request, QUARANTINED, quarantine_left)
+}
+
+/// Sends a request through other gates, if a caller sent it and it may still reach a server; `None` if
+/// none takes it.
+async fn detour<W, S>(
+    core: &Rc<EdgeCore<W, S>>,
+    service: &ServiceState,
+    request: &EdgeRequest,
+    state: &mut RelayState,
+    span: &RequestSpan<'_, W, S>,
+) -> Option<RequestEnd>
+where
+    W: EdgeWire,
+{
+    if request.origin == RequestOrigin::Gate || state.gates_declined || !may_retry(state, request) {
+        return None;
+    }
+    if !take_retry(service, state) {
+        return None;
+    }
+    let attempts = request.route.rule().attempts.max(1) - state.arrivals;
+    span.clear_server();
+    let end = send_through_gates(core, service, request, attempts).await;
+    state.gates_declined = end.is_none();
+    end
+}
+
+/// Takes a retry from the budget if the next send is one: if an earlier one reached a server or may
+/// have.
+fn take_retry(service: &ServiceState, state: &RelayState) -> bool {
+    state.arrivals == 0 || service.retries.borrow_mut().take()
+}
+
+/// Whether a connection to a server is open that can carry a request.
+fn has_open_connection<W, S>(
+    core: &EdgeCore<W, S>,
+    service: &ServiceState,
+    server: ServerKey,
+) -> bool {
+    let table = service.table.borrow();
+    let server = table.server(server);
+    server.is_some_and(|server| core.pool.has_idle(server.address, core.clock.now()))
+}
+
+/// Records that a server did not answer in time.
+fn note_answer_timeout<W, S>(
+    core: &EdgeCore<W, S>,
+    service: &ServiceState,
+    server: ServerKey,
+    progress: &SendProgress,
+) {
+    let mut table = service.table.borrow_mut();
+    table.note_timeout(server, core.clock.now());
+    let Some(address) = table.server(server).map(|server| server.address) else {
+        return;
+    };
+    drop(table);
+    // If its connection has gone silent for good, the others often have too.
+    core.pool.discard_idle(address);
+    let event = if progress.may_have_sent() {
+        ReachEvent::NotAnswered
+    } else {
+        ReachEvent::NotOpened
+    };
+    core.note_reach(service, address, event);
 }
 
 /// Whether a request may be sent to one more server, apart from the retry budget.
@@ -275,29 +368,41 @@
     not_run: LocalAnswer::NoCapacity,
 };
 
+/// Answers when neither this gate nor another that it knows reaches the servers.
+const NOT_REACHED: FailureAnswers = FailureAnswers {
+    may_have_run: LocalAnswer::ServerFailed,
+    not_run: LocalAnswer::Unreachable,
+};
+
 /// Answers when servers ended each time they ran the request.
 const QUARANTINED: FailureAnswers = FailureAnswers {
     may_have_run: LocalAnswer::ServerFailed,
     not_run: LocalAnswer::Quarantined,
 };
 
-/// The final answer to a request that failed: the last error answer of a server if there is one,
-/// otherwise an answer of the gate itself.
-fn failure_response(
+/// The end of a request that failed: the last error answer of a server if there is one, otherwise an
+/// answer of the gate itself.
+fn end_failed(
     state: RelayState,
     request: &EdgeRequest,
     answers: FailureAnswers,
     retry_after: Duration,
-) -> Response<EdgeBody> {
+) -> RequestEnd {
     if let Some((answer, guard)) = state.error_answer {
-        return forward_answer(answer, guard, request);
+        return forward_answer(answer, Some(guard), request);
     }
-    let answer = if state.may_have_run {
-        answers.may_have_run
-    } else {
-        answers.not_run
+    let answer = match answers {
+        _ if state.may_have_run => answers.may_have_run,
+        // All sends failed before a server had the request, so another gate may reach one.
+        _ if state.unopened > 0 && state.arrivals == 0 && request.origin == RequestOrigin::Gate => {
+            LocalAnswer::Unreachable
+        }
+        _ => answers.not_run,
     };
-    answer.response(retry_after)
+    Err(FinalFailure {
+        answer,
+        retry_after,
+    })
 }
 
 /// Updates the estimates of the route's processing time and answer length with an answer.
@@ -324,12 +429,12 @@
     service.set_work(rule, work);
 }
 
-/// Builds the final answer to the caller from the answer of a server.
-fn forward_answer(
+/// Builds the final answer to the caller from the answer of a server, or of another gate.
+pub(crate) fn forward_answer(
     answer: EdgeAnswer,
-    guard: SendGuard,
+    guard: Option<SendGuard>,
     request: &EdgeRequest,
-) -> Response<EdgeBody> {
+) -> RequestEnd {
     let status = answer.head.status;
     // Callers take these statuses to mean that the request has not run. The server did not say so
     // with the `not_run` header, so a caller that repeats the request might run it twice.
@@ -341,7 +446,10 @@
             | StatusCode::MISDIRECTED_REQUEST
     );
     if implies_not_run && request.route.rule().repeat == RepeatRule::AtMostOnce {
-        return LocalAnswer::ServerFailed.response(Duration::ZERO);
+        return Err(FinalFailure {
+            answer: LocalAnswer::ServerFailed,
+            retry_after: Duration::ZERO,
+        });
     }
     let body = match answer.body {
         AnswerBytes::Whole(bytes, lease) => EdgeBody::leased(bytes, lease),
@@ -349,5 +457,5 @@
     };
     let mut response = Response::with_body(status, body);
     *response.headers_mut() = end_to_end_headers(&answer.head.headers);
-    response
+    Ok(response)
 }
--- a/crates/edge/src/service.rs
+++ b/crates/edge/src/service.rs
@@ -9,6 +9,7 @@
 use ggs_limit::FleetRetries;
 use ggs_model::ServiceName;
 use ggs_place::{LoadTable, WorkEstimate};
+use ggs_reach::{DetourTable, ServerReach};
 use ggs_route::RouteRule;
 
 /// Consecutive probes without a load report after which the servers of a service are taken to
@@ -24,6 +25,10 @@
     pub(crate) table: RefCell<LoadTable>,
     /// This gate's share of the service's retry budget.
     pub(crate) retries: RefCell<FleetRetries>,
+    /// Whether this gate reaches its servers.
+    pub(crate) reach: RefCell<ServerReach>,
+    /// Gates that take its requests while this one does not reach its servers.
+    pub(crate) detours: RefCell<DetourTable>,
     /// Estimated processing times of the routes to this service, by name of the route.
     estimates: RefCell<HashMap<Arc<str>, WorkEstimate>>,
     /// Consecutive probes without a load report; failed ones do not count.
@@ -37,6 +42,8 @@
             name,
             table: RefCell::new(LoadTable::new(rand::random())),
             retries: RefCell::new(retries),
+            reach: RefCell::default(),
+            detours: RefCell::new(DetourTable::new(rand::random())),
             estimates: RefCell::new(HashMap::new()),
             answers_without_load: Cell::new(0),
         })
--- a/crates/edge/src/span.rs
+++ b/crates/edge/src/span.rs
@@ -16,7 +16,7 @@
 use crate::core::EdgeCore;
 use crate::placement::PlacementRefusal;
 use crate::ports::EdgeWire;
-use crate::request::EdgeRequest;
+use crate::request::{EdgeRequest, RequestOrigin};
 use crate::service::ServiceState;
 
 /// Logs what happens to one request and measures how long it takes.
@@ -52,6 +52,24 @@
         *self.server.borrow_mut() = server.unwrap_or_default();
     }
 
+    /// Forgets the server to which the request was sent last, as it goes through another gate.
+    pub(crate) fn clear_server(&self) {
+        self.server.borrow_mut().clear();
+    }
+
+    /// Logs that neither this gate nor another reaches a server for the request.
+    pub(crate) fn log_unreachable(&self, service: &ServiceState) {
+        let pairs = slog::o!(
+            "request" => self.id.clone(),
+            "service" => service.name.to_string(),
+            "held_ms" => self.held_ms(),
+            "left_ms" => self.left_ms(),
+        );
+        let log = &self.core.log;
+        let message = "no server is reached, and no other gate takes the request";
+        log.emit(LogEvent::RequestRefused, message, pairs);
+    }
+
     /// Logs a failed send.
     pub(crate) fn log_failed_send(
         &self,
@@ -132,15 +150,20 @@
             "server" => self.server.borrow().clone(),
             "held_ms" => self.held_ms(),
             "left_ms" => self.left_ms(),
+            "from_gate" => self.request.origin == RequestOrigin::Gate,
         );
         self.ended.set(true);
         let log = &self.core.log;
         log.emit(LogEvent::RequestEnded, "request completed", pairs);
+        let metrics = &self.core.metrics;
+        if self.request.origin == RequestOrigin::Gate {
+            // The gate of the caller counts the request.
+            metrics.count_taken(status.as_u16());
+            return;
+        }
         let elapsed = self.core.clock.now().since(self.request.read_at);
         let priority = self.request.route.rule().priority;
-        self.core
-            .metrics
-            .observe_request(priority, status.as_u16(), elapsed);
+        metrics.observe_request(priority, status.as_u16(), elapsed);
     }
 
     /// Milliseconds since the head of the request was read.
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -75,6 +75,11 @@
     ServerLimited = 309,
     /// A server ended while it had a request.
     ServerEnded = 310,
+    /// A gate does not reach the servers of a service, or opens no new connections to them; its
+    /// requests go through other gates.
+    ServersUnreachable = 311,
+    /// A gate reaches the servers of a service again.
+    ServersReached = 312,
     /// A request failed with a verdict on whether it ran.
     RequestFailed = 400,
     /// A caller's connection failed, for example by a protocol error.
@@ -136,6 +141,7 @@
             | Self::ServerUnreadable
             | Self::StoreRestored
             | Self::RequestQuarantined
+            | Self::ServersUnreachable
             | Self::GateWithdrawn
             | Self::GatesLost
             | Self::GateWoke
@@ -160,6 +166,7 @@
             | Self::StoreHistoryLost
             | Self::ServerLimited
             | Self::ServerEnded
+            | Self::ServersReached
             | Self::GateJoined
             | Self::GateLeft
             | Self::GatesSeen => LogLevel::Info,
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -21,7 +21,7 @@
 
 impl ActiveRoute {
     /// A route whose split starts at `phase`.
-    fn new(rule: RouteRule, phase: u64) -> Self {
+    pub fn new(rule: RouteRule, phase: u64) -> Self {
         let weights: Vec<_> = rule.targets.iter().map(|target| target.weight).collect();
         Self {
             rule,
