Log servers that turn requests away and ask for rest

The line of a failed send says refused and not for how long the server wants no further requests. Nothing acts on the header yet.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -40,6 +40,7 @@
 mod quarantine;
 mod reach;
 mod request;
+mod rest;
 mod serve;
 mod servers;
 mod service;
--- a/crates/edge/src/ports.rs
+++ b/crates/edge/src/ports.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_http::Uri;
 use actix_http::header::{HeaderMap, HeaderName};
+use actix_http::{ResponseHead, Uri};
 use bytes::Bytes;
 use ggs_member::GateRecord;
 use ggs_model::{DataCentre, HostName, ServiceName};
@@ -85,6 +85,10 @@
     /// no limit.
     fn read_limit(&self, headers: &HeaderMap) -> Option<f64>;
 
+    /// Reads for how long a server that turns a request away wants no further ones from this gate;
+    /// `None` if it does not say so.
+    fn read_rest(&self, head: &ResponseHead) -> Option<Duration>;
+
     /// Whether a server says in its headers that it is leaving.
     fn says_leaving(&self, headers: &HeaderMap) -> bool;
 }
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -171,6 +171,7 @@
     let load = core.wire.read_load(&head.headers);
     core.observe_probe_limit(&server.instance, &head.headers);
     core.observe_leaving(&server.instance, started_ms, &head.headers);
+    core.observe_rest(&server.instance, &head);
     if let Ok(connection) = connection.skip_body().await
         && connection.is_reusable()
         && !connection.has_unread_bytes()
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -80,6 +80,8 @@
     ServersUnreachable = 311,
     /// A gate reaches the servers of a service again.
     ServersReached = 312,
+    /// A server turned a request away and said for how long it wants no further ones.
+    ServerResting = 313,
     /// A request failed with a verdict on whether it ran.
     RequestFailed = 400,
     /// A caller's connection failed, for example by a protocol error.
@@ -167,6 +169,7 @@
             | Self::ServerLimited
             | Self::ServerEnded
             | Self::ServersReached
+            | Self::ServerResting
             | Self::GateJoined
             | Self::GateLeft
             | Self::GatesSeen => LogLevel::Info,
