Send nothing to servers for as long as they ask for rest

A refusal raised the server's failure rate, which decays within seconds, while its load probes showed free slots: it looked better than the servers that worked.

The rest holds for one run of the server, whatever happens to its row, and is told to no other gate, as the answer asks only this one. The failures before a rest do not count after it. A server that has started again is ranked anew.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -270,7 +270,7 @@
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         core.observe_answer_limit(&server.instance, &head.headers);
         core.observe_leaving(&server.instance, started_ms, &head.headers);
-        core.observe_rest(&server.instance, &head);
+        core.observe_rest(service, key, server, &head);
     }
     let framing = AnswerFraming::of(&head, &request.method);
     let refused = head.headers.contains_key(&names.not_run);
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -11,7 +11,7 @@
 
 use actix_http::ServiceConfig;
 use foldhash::{HashMap, HashMapExt};
-use ggs_limit::{ByteBudget, FleetRetries, ServerLimits};
+use ggs_limit::{ByteBudget, FleetRetries, ServerLimits, ServerRests};
 use ggs_member::{GateRecord, GateState, GroupCandidate, PeerPolicy, PeerTable};
 use ggs_model::{BootClock, Clock, GateId, Incarnation, Moment, ServiceName};
 use ggs_observe::{EventLog, LogEvent};
@@ -102,6 +102,8 @@
     pub(crate) load_update_peers: RefCell<Vec<SocketAddr>>,
     /// Limits that servers named for all gates together.
     pub(crate) server_limits: RefCell<ServerLimits>,
+    /// Servers that want no requests of this gate.
+    pub(crate) rests: RefCell<ServerRests>,
     /// Requests under which servers ended.
     pub(crate) crashes: RefCell<CrashTable>,
     /// What other gates have to learn of them.
@@ -181,6 +183,7 @@
             probes: RefCell::new(ProbeBucket::new(now)),
             load_update_peers: RefCell::new(Vec::new()),
             server_limits: RefCell::new(ServerLimits::default()),
+            rests: RefCell::default(),
             crashes: RefCell::default(),
             crash_news: CrashNews::default(),
             unsaved_quarantine: UnsavedQuarantine::default(),
@@ -308,6 +311,7 @@
             let list = lists.entry(record.service.clone()).or_default();
             list.push(ListedServer {
                 instance: Arc::clone(&record.instance),
+                started_ms: record.started_ms,
                 address: record.address,
                 near: record.data_centre == settings.data_centre,
                 slots: record.slots,
@@ -324,17 +328,24 @@
         }
         self.metrics.set_servers(lists.values().map(Vec::len).sum());
         let mut instances = HashMap::new();
+        let rests = self.rests.borrow();
         for (name, service) in self.services.borrow().iter() {
             let servers = lists.remove(name).unwrap_or_default();
             let mut table = service.table.borrow_mut();
             table.replace(servers, now);
+            let mut resting = Vec::new();
             for (key, server) in table.servers() {
                 let location = (Rc::clone(service), key);
                 instances.insert(Arc::clone(&server.instance), location);
+                let rest = rests.until(&server.instance, server.started_ms, now);
+                resting.extend(rest.map(|until| (key, until)));
+            }
+            for (key, until) in resting {
+                table.set_rest(key, until);
             }
         }
         *self.instances.borrow_mut() = instances;
-        drop(catalog);
+        drop((catalog, rests));
         self.refresh_shares();
         self.refresh_group(now);
     }
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -244,6 +244,7 @@
         core.log
             .emit_names(LogEvent::GateJoined, message, "gate", &joined);
         core.contacts.borrow_mut().remove_expired(now);
+        core.expire_rests();
         core.refresh_group(now);
         if full_count < FULL_HEARTBEAT_COUNT && core.contacts.borrow().knows_gates() {
             full_count += 1;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -59,6 +59,7 @@
     latency: Family<PriorityLabels, Histogram>,
     sends: Family<SendLabels, Counter>,
     connects: Family<OutcomeLabels, Counter>,
+    rests: Counter,
     detours: Family<OutcomeLabels, Counter>,
     taken: Family<StatusLabels, Counter>,
     probes: Counter,
@@ -87,6 +88,9 @@
         let connects = Family::default();
         let help = "Connections to servers by how opening them ended";
         registry.register("connects", help, connects.clone());
+        let rests = Counter::default();
+        let help = "Answers in which servers asked this gate for rest";
+        registry.register("rests", help, rests.clone());
         let detours: Family<OutcomeLabels, Counter> = Family::default();
         // Exported from the start, as a rise from zero raises an alarm.
         let labels = OutcomeLabels {
@@ -124,6 +128,7 @@
             latency,
             sends,
             connects,
+            rests,
             detours,
             taken,
             probes,
@@ -159,6 +164,11 @@
         self.connects.get_or_create(&labels).inc();
     }
 
+    /// Counts an answer in which a server asked for rest.
+    pub(crate) fn count_rest(&self) {
+        self.rests.inc();
+    }
+
     /// Counts how a request to another gate ended.
     pub(crate) fn count_detour(&self, outcome: &'static str) {
         self.detours.get_or_create(&OutcomeLabels { outcome }).inc();
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -4,6 +4,7 @@
 //! gate's data centre are probed, then servers of other data centres. [`decide_placement`] decides
 //! at each step; this module carries the decision out.
 
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -40,6 +41,9 @@
 /// milliseconds.
 const MAX_LOAD_TTL: Duration = Duration::from_millis(40);
 
+/// Range of the random factor on the time after which callers may retry while all servers rest.
+const RETURN_SPREAD: Range<f64> = 1.0..1.2;
+
 /// Refusal of a request for which no server is expected to answer in time.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct PlacementRefusal {
@@ -85,6 +89,7 @@
             objective: rule.objective,
             held: now.since(request.read_at),
             time_left: request.answer_by.since(now),
+            rest_left: service.table.borrow().rest_left(now),
             stage,
         };
         match decide_placement(&input) {
@@ -103,6 +108,13 @@
             }
             PlacementDecision::Refuse(retry_after) => {
                 let best = input.best;
+                // Callers that were refused for the same rest should not all return at its end.
+                let spread = if input.rest_left.is_some() {
+                    rand::random_range(RETURN_SPREAD)
+                } else {
+                    1.0
+                };
+                let retry_after = retry_after.mul_f64(spread);
                 return Err(PlacementRefusal { best, retry_after });
             }
         }
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -74,7 +74,7 @@
         let (round, key, path) = (Rc::clone(&round), *key, path.clone());
         actix_rt::spawn(async move {
             let connected = Cell::new(false);
-            let probe = probe_one(&core, &service, &server, path, reuse, &connected);
+            let probe = probe_one(&core, &service, (key, &server), path, reuse, &connected);
             let result = timeout(PROBE_TIMEOUT, probe).await;
             if result.is_err() {
                 let event = if connected.get() {
@@ -123,7 +123,7 @@
 async fn probe_one<W, S>(
     core: &EdgeCore<W, S>,
     service: &ServiceState,
-    server: &ListedServer,
+    (key, server): (ServerKey, &ListedServer),
     path: Uri,
     reuse: ConnectionReuse,
     connected: &Cell<bool>,
@@ -171,7 +171,7 @@
     let load = core.wire.read_load(&head.headers);
     core.observe_probe_limit(&server.instance, &head.headers);
     core.observe_leaving(&server.instance, started_ms, &head.headers);
-    core.observe_rest(&server.instance, &head);
+    core.observe_rest(service, key, server, &head);
     if let Ok(connection) = connection.skip_body().await
         && connection.is_reusable()
         && !connection.has_unread_bytes()
--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use actix_http::Uri;
-use ggs_model::Clock;
+use ggs_model::{Clock, Moment};
 use ggs_observe::LogEvent;
 use ggs_place::ServerKey;
 use ggs_reach::{ReachEvent, ReachState, ServerReach};
@@ -107,8 +107,9 @@
     W: EdgeWire,
     S: 'static,
 {
-    let mut keys = draw_servers(service);
-    let granted = core.probes.borrow_mut().take(keys.len(), core.clock.now());
+    let now = core.clock.now();
+    let mut keys = draw_servers(service, now);
+    let granted = core.probes.borrow_mut().take(keys.len(), now);
     keys.truncate(granted);
     let routes = core.routes();
     let rule = routes
@@ -127,9 +128,9 @@
 }
 
 /// Some servers of a service, drawn at random.
-fn draw_servers(service: &ServiceState) -> Vec<ServerKey> {
+fn draw_servers(service: &ServiceState, now: Moment) -> Vec<ServerKey> {
     let table = service.table.borrow();
-    let keys = table.servers().map(|(key, _)| key);
+    let keys = table.willing_servers(now);
     keys.sample(&mut rand::rng(), TRIAL_COUNT)
 }
 
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -82,6 +82,8 @@
     ServersReached = 312,
     /// A server turned a request away and said for how long it wants no further ones.
     ServerResting = 313,
+    /// The time is over for which servers wanted no requests.
+    ServerRested = 314,
     /// A request failed with a verdict on whether it ran.
     RequestFailed = 400,
     /// A caller's connection failed, for example by a protocol error.
@@ -170,6 +172,7 @@
             | Self::ServerEnded
             | Self::ServersReached
             | Self::ServerResting
+            | Self::ServerRested
             | Self::GateJoined
             | Self::GateLeft
             | Self::GatesSeen => LogLevel::Info,
--- a/crates/place/src/decision.rs
+++ b/crates/place/src/decision.rs
@@ -61,6 +61,8 @@
     pub held: Duration,
     /// Time until the request's deadline.
     pub time_left: Duration,
+    /// Time until the first server wants requests again; `None` if one does now.
+    pub rest_left: Option<Duration>,
     /// Which servers have been probed.
     pub stage: ProbeStage,
 }
@@ -89,7 +91,8 @@
 /// 2. Otherwise near servers are probed, then those of other data centres, each time to find a
 ///    server that is expected to answer within the objective.
 /// 3. If there is none, the request waits for as long as a refusal still counts as prompt.
-/// 4. After that it goes to a server that is expected to answer late but before the deadline, and
+/// 4. If all servers want rest, it waits only if that ends within the same time.
+/// 5. After that it goes to a server that is expected to answer late but before the deadline, and
 ///    is refused if there is no such server.
 ///
 /// ```
@@ -104,11 +107,15 @@
 ///     objective: second,
 ///     held: second,
 ///     time_left: second,
+///     rest_left: None,
 ///     stage: ProbeStage::All,
 /// };
 /// assert!(matches!(decide_placement(&input), PlacementDecision::Refuse(_)));
 /// ```
 pub fn decide_placement(input: &PlacementInput) -> PlacementDecision {
+    if let Some(rest) = input.rest_left {
+        return decide_while_resting(input, rest);
+    }
     let objective_limit = with_margin(input.objective.saturating_sub(input.held));
     let best = input.best;
     let within = |percent: u32| {
@@ -126,6 +133,15 @@
     }
 }
 
+/// Decides while no server wants requests for the time of `rest`.
+fn decide_while_resting(input: &PlacementInput, rest: Duration) -> PlacementDecision {
+    if input.held + rest <= input.objective / MAX_WAIT_DIVISOR {
+        PlacementDecision::Wait(rest)
+    } else {
+        PlacementDecision::Refuse(rest.max(MIN_RETRY_AFTER))
+    }
+}
+
 /// Decides once servers of all data centres have been probed.
 fn decide_after_probes(input: &PlacementInput, objective_limit: Duration) -> PlacementDecision {
     if let Some(best) = input.best.filter(|best| best.expected <= objective_limit) {
--- a/crates/place/src/load_table.rs
+++ b/crates/place/src/load_table.rs
@@ -67,6 +67,8 @@
 pub struct ListedServer {
     /// Identifies one run of the server process.
     pub instance: Arc<str>,
+    /// Start of that run in Unix milliseconds; `None` if it is not known.
+    pub started_ms: Option<u64>,
     /// Address on which it listens.
     pub address: SocketAddr,
     /// Whether it is in the gate's data centre.
@@ -194,6 +196,8 @@
     failure_rate: f64,
     outcome_at: Moment,
     avoid_until: Moment,
+    /// Until when the server wants no requests of this gate.
+    rests_until: Moment,
     /// `None` if the server does not limit requests.
     quota: Option<SendQuota>,
 }
@@ -209,22 +213,27 @@
             failure_rate: 0.0,
             outcome_at: now,
             avoid_until: Moment::ZERO,
+            rests_until: Moment::ZERO,
             quota: None,
         }
     }
 
-    /// Whether a request may be sent now, by the limit of the server.
+    /// Whether a request may be sent now, by the limit and the rest of the server.
     fn is_allowed(&self, now: Moment) -> bool {
-        self.quota.is_none_or(|quota| quota.allows(now))
+        self.rests_until <= now && self.quota.is_none_or(|quota| quota.allows(now))
     }
 
-    /// Whether the server takes no request of this gate, by its limit.
-    fn is_forbidden(&self) -> bool {
-        self.quota.is_some_and(|quota| quota.per_second <= 0.0)
+    /// Whether the server takes no request of this gate, by its limit or its rest.
+    fn is_forbidden(&self, now: Moment) -> bool {
+        self.rests_until > now || self.quota.is_some_and(|quota| quota.per_second <= 0.0)
     }
 
-    /// The failure rate at `now`, decayed since the last outcome.
+    /// The failure rate at `now`, decayed since the last outcome. Failures before the end of a rest
+    /// count no more: the server got nothing in that time.
     fn failure_rate_at(&self, now: Moment) -> f64 {
+        if self.outcome_at < self.rests_until {
+            return 0.0;
+        }
         let idle = now.since(self.outcome_at).as_secs_f64();
         self.failure_rate * 0.5_f64.powf(idle / FAILURE_HALF_LIFE.as_secs_f64())
     }
@@ -269,6 +278,7 @@
 /// let mut table = LoadTable::new(1);
 /// let server = |name: &str| ListedServer {
 ///     instance: name.into(),
+///     started_ms: None,
 ///     address: "10.0.0.1:80".parse().unwrap(),
 ///     near: true,
 ///     slots: 3,
@@ -314,7 +324,7 @@
     }
 
     /// Replaces the servers that may get requests. A server that was listed before with the same
-    /// instance and address keeps its key, load and failure rate.
+    /// instance, start and address keeps its key, load and failure rate.
     pub fn replace(&mut self, servers: Vec<ListedServer>, now: Moment) {
         let mut old: HashMap<Arc<str>, (ServerKey, LoadEntry)> = HashMap::new();
         for (key, entry) in self.entries.drain() {
@@ -324,7 +334,10 @@
         self.far.clear();
         for server in servers {
             let known = old.remove(&server.instance);
-            let known = known.filter(|(_, entry)| entry.server.address == server.address);
+            let known = known.filter(|(_, entry)| {
+                let old = &entry.server;
+                old.address == server.address && old.started_ms == server.started_ms
+            });
             let (key, mut entry) = known.unwrap_or_else(|| {
                 let key = ServerKey(self.next_key);
                 self.next_key += 1;
@@ -392,7 +405,7 @@
         let candidates = self.list(scope).iter().copied();
         let candidates = candidates.filter(|key| {
             let entry = &self.entries[key];
-            !entry.is_forbidden() && entry.sample.is_none_or(|(_, at)| at < since)
+            !entry.is_forbidden(now) && entry.sample.is_none_or(|(_, at)| at < since)
         });
         let reachable = |key: &ServerKey| self.entries[key].avoid_until <= now;
         let (mut chosen, mut avoided): (Vec<_>, Vec<_>) = candidates.partition(reachable);
@@ -404,6 +417,28 @@
         chosen
     }
 
+    /// Sets until when a server wants no requests of this gate.
+    pub fn set_rest(&mut self, key: ServerKey, until: Moment) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.rests_until = until;
+        }
+    }
+
+    /// Time until the first server wants requests again; `None` if one does now, or there is none.
+    pub fn rest_left(&self, now: Moment) -> Option<Duration> {
+        let ends = self.entries.values().map(|entry| entry.rests_until);
+        ends.min()
+            .filter(|end| *end > now)
+            .map(|end| end.since(now))
+    }
+
+    /// The servers that take requests of this gate, in no particular order.
+    pub fn willing_servers(&self, now: Moment) -> impl Iterator<Item = ServerKey> {
+        let entries = self.entries.iter();
+        let willing = entries.filter(move |(_, entry)| !entry.is_forbidden(now));
+        willing.map(|(key, _)| *key)
+    }
+
     /// Sets how many requests per second this gate may send to a server; `None` if there is no limit.
     pub fn set_quota(&mut self, key: ServerKey, per_second: Option<f64>, now: Moment) {
         let Some(entry) = self.entries.get_mut(&key) else {
--- a/crates/place/tests/load.rs
+++ b/crates/place/tests/load.rs
@@ -203,6 +203,7 @@
     let mut table = LoadTable::new(seed + 1);
     let servers = (0..SERVERS).map(|index| ListedServer {
         instance: index.to_string().into(),
+        started_ms: None,
         address: ([10, 0, 0, 1], index as u16 + 1).into(),
         near: true,
         slots: SLOTS,
@@ -246,6 +247,7 @@
             objective: OBJECTIVE,
             held,
             time_left: DEADLINE.saturating_sub(held),
+            rest_left: None,
             stage: request.stage,
         };
         match decide_placement(&input) {
--- a/crates/place/tests/load_table.rs
+++ b/crates/place/tests/load_table.rs
@@ -18,6 +18,7 @@
     let mut table = LoadTable::new(3);
     let server = |port: u16| ListedServer {
         instance: port.to_string().into(),
+        started_ms: None,
         address: ([10, 0, 0, 1], port).into(),
         near: true,
         slots: 3,
