Count no crash while a gate reaches no other server

What callers saw: after the links of one gate to all servers were reset, a page that 15 callers were reading at that moment got 503 with Retry-After 3596 at all gates, also at those that had reached the servers all the time.

Cause: a connection that is lost and a port that refuses count as the end of the server under the request. A gate that is cut off sees the same at all servers, so three servers seemed to have ended under each request that was in flight at three of them, and the fleet was told.

Change: before a crash counts, the gate opens a connection to up to three other servers. If it reaches none, it says nothing about the request.

Result: a_page_that_was_in_flight_when_the_links_were_reset_is_served failed before and passes; the six tests of requests that end their servers pass as before.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -20,6 +20,7 @@
 use ggs_reach::ServerReach;
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_route::RouteTable;
+use rand::seq::IteratorRandom;
 use tokio::sync::Notify;
 
 use crate::catalog::ServerCatalog;
@@ -229,6 +230,17 @@
         service
     }
 
+    /// Addresses of up to `count` servers of any service, drawn at random, without the one at `address`.
+    pub(crate) fn sample_servers(&self, count: usize, address: SocketAddr) -> Vec<SocketAddr> {
+        let instances = self.instances.borrow();
+        let addresses = instances.values().filter_map(|(service, key)| {
+            let table = service.table.borrow();
+            table.server(*key).map(|server| server.address)
+        });
+        let others = addresses.filter(|other| *other != address);
+        others.sample(&mut rand::rng(), count)
+    }
+
     /// Number of servers that may get requests, of all services.
     pub(crate) fn server_count(&self) -> usize {
         self.instances.borrow().len()
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -1,6 +1,7 @@
 //! Keeps requests that end the servers that run them away from servers.
 //!
-//! When a connection is lost under a request and its server no longer listens, the server has ended.
+//! When a connection is lost under a request and its server no longer listens, the server has ended,
+//! unless this gate reaches no other server either.
 //! The gates tell one another of each such crash, so that the repeats of a request count together
 //! whichever gates they come through. A request in quarantine is refused at once.
 //!
@@ -16,6 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::future::join_all;
 use ggs_model::Clock;
 use ggs_observe::LogEvent;
 use ggs_place::ListedServer;
@@ -37,6 +39,9 @@
 /// once.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Servers that are checked beside one that seems to have ended.
+const CONTROL_COUNT: usize = 3;
+
 /// Requests in quarantine that a heartbeat carries, drawn at random if there are more.
 const HEARTBEAT_RECORD_COUNT: usize = 2;
 
@@ -139,7 +144,7 @@
     ) where
         W: EdgeWire,
     {
-        if is_listening(server.address).await {
+        if is_listening(server.address).await || !self.reaches_others(server.address).await {
             return;
         }
         let run = ServerRun::new(&server.instance, started_ms);
@@ -163,6 +168,20 @@
         self.publish_changes(request.digests()[0], &changes);
     }
 
+    /// Whether this gate reaches any of a few servers other than the one at `address`. If it reaches
+    /// none, its path to the servers is as likely to have failed as a server. True if there are no others.
+    async fn reaches_others(&self, address: SocketAddr) -> bool {
+        let others = self.sample_servers(CONTROL_COUNT, address);
+        if others.is_empty() {
+            return true;
+        }
+        let connects = others
+            .iter()
+            .map(|other| timeout(CHECK_TIMEOUT, TcpStream::connect(other)));
+        let connects = join_all(connects).await;
+        connects.iter().any(|connect| matches!(connect, Ok(Ok(_))))
+    }
+
     /// Records that a server answered a request, which is harmless then if it was suspected.
     pub(crate) fn note_answered(&self, request: &EdgeRequest) {
         if self.crashes.borrow().is_empty() {
