--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -228,6 +228,7 @@
     }
     if let Ok(connection) = connection.skip_body().await
         && connection.is_reusable()
+        && !connection.has_unread_bytes()
     {
         permit.put_back(connection, core.clock.now());
     }
