Keep to a leaving notice that came through another gate

What callers saw: nothing yet. A gate that has passed on an answer with Server-Leaving must send nothing to that server after the drain time. If the answer came through another gate, the first gate forwarded the header without reading it, and sent requests to the server itself once it reached it again (one of 100 in the test, until that answer told it).

Change: the gate that takes a request names the server and its start in a header of the answer, and the first gate records the notice as if the server had answered it directly.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -128,21 +128,28 @@
 #[derive(Debug)]
 pub(crate) struct SendGuard {
     service: Rc<ServiceState>,
-    server: ServerKey,
+    key: ServerKey,
+    server: ListedServer,
     outcome: Cell<SendOutcome>,
 }
 
 impl SendGuard {
     /// Starts to count a send.
-    fn start(service: &Rc<ServiceState>, server: ServerKey) -> Self {
-        service.table.borrow_mut().start(server, BootClock.now());
+    fn start(service: &Rc<ServiceState>, key: ServerKey, server: &ListedServer) -> Self {
+        service.table.borrow_mut().start(key, BootClock.now());
         Self {
             service: Rc::clone(service),
-            server,
+            key,
+            server: server.clone(),
             outcome: Cell::new(SendOutcome::Abandoned),
         }
     }
 
+    /// The server, as it was listed when the request was sent.
+    pub(crate) const fn server(&self) -> &ListedServer {
+        &self.server
+    }
+
     /// Sets the outcome to record on drop.
     pub(crate) fn set_outcome(&self, outcome: SendOutcome) {
         self.outcome.set(outcome);
@@ -153,7 +160,7 @@
     fn drop(&mut self) {
         let now = BootClock.now();
         let mut table = self.service.table.borrow_mut();
-        table.end(self.server, self.outcome.get(), now);
+        table.end(self.key, self.outcome.get(), now);
     }
 }
 
@@ -189,7 +196,7 @@
 {
     let server = service.table.borrow().server(key).cloned();
     let server = server.ok_or(SendFailure::unsent(FailureKind::NoServer))?;
-    let guard = SendGuard::start(service, key);
+    let guard = SendGuard::start(service, key, &server);
     core.load_updates.add_send(&server.instance);
     let started_ms = core.catalog.borrow().started_ms(&server.instance);
     let answer = exchange(core, service, key, &server, started_ms, request, progress).await;
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -13,10 +13,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::header::{HeaderValue, RETRY_AFTER};
+use actix_http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 use actix_http::{Request, Response, StatusCode};
 use ggs_member::PeerLiveness;
 use ggs_model::{Clock, Moment};
+use ggs_place::ListedServer;
 use ggs_reach::{DetourGate, ReachState};
 use ggs_relay::{ConnectionReuse, ServerConnection};
 use strum::{Display, IntoStaticStr};
@@ -26,7 +27,9 @@
 use crate::attempt::{EdgeAnswer, SendProgress, receive_answer, start_exchange};
 use crate::body::EdgeBody;
 use crate::core::EdgeCore;
-use crate::detour_wire::{DECLINED_HEADER, DETOUR_HEADER, DetourBody};
+use crate::detour_wire::{
+    AnsweringServer, DECLINED_HEADER, DETOUR_HEADER, DetourBody, SERVER_HEADER,
+};
 use crate::ports::EdgeWire;
 use crate::reach::TRIAL_PERIOD;
 use crate::request::{EdgeRequest, RequestOrigin, read_body};
@@ -133,6 +136,28 @@
     }
 }
 
+impl<W, S> EdgeCore<W, S>
+where
+    W: EdgeWire,
+{
+    /// Removes the server from the headers of another gate's answer, and records what the server said
+    /// of itself. The caller got its answer from this gate, which is bound by that.
+    fn take_answering_server(&self, headers: &mut HeaderMap) {
+        let value = headers.remove(SERVER_HEADER).next();
+        let server = value.and_then(|value| AnsweringServer::try_from(&value).ok());
+        if let Some(server) = server {
+            self.observe_leaving(&server.instance, server.started_ms, headers);
+        }
+    }
+}
+
+/// Names the server that gave an answer to a request of another gate.
+pub(crate) fn add_answering_server(headers: &mut HeaderMap, server: &ListedServer) {
+    if let Ok(value) = HeaderValue::try_from(&AnsweringServer::from(server)) {
+        headers.insert(SERVER_HEADER, value);
+    }
+}
+
 /// Sends a request of a caller through other gates; `None` if none takes it. The request has not run
 /// then.
 ///
@@ -221,6 +246,8 @@
         return DetourOutcome::Lost;
     };
     if !head.headers.contains_key(&names.not_run) {
+        let mut head = head;
+        core.take_answering_server(&mut head.headers);
         let answer = receive_answer(core, connection, permit, head, request).await;
         return answer.map_or(DetourOutcome::Lost, |answer| {
             DetourOutcome::Answered(Box::new(answer))
--- a/crates/edge/src/detour_wire.rs
+++ b/crates/edge/src/detour_wire.rs
@@ -14,6 +14,7 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
 use ggs_model::{Moment, ServiceName};
+use ggs_place::ListedServer;
 use ggs_route::{ActiveRoute, RepeatRule, RouteRule, RouteTarget};
 use prost::Message;
 
@@ -25,6 +26,19 @@
 /// Header of an answer that declines such a request, with the cause.
 pub(crate) const DECLINED_HEADER: HeaderName = HeaderName::from_static("ggs-declined");
 
+/// Header of an answer to such a request, with the server that gave it.
+pub(crate) const SERVER_HEADER: HeaderName = HeaderName::from_static("ggs-server");
+
+/// The run of a server that gave an answer, as another gate knows it.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct AnsweringServer {
+    #[prost(string, tag = "1")]
+    pub(crate) instance: String,
+    /// Start of the run in Unix milliseconds; absent if it is not known.
+    #[prost(uint64, optional, tag = "2")]
+    pub(crate) started_ms: Option<u64>,
+}
+
 /// What a gate tells another one with a request.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct DetourBody {
@@ -56,7 +70,7 @@
     caller: Vec<u8>,
 }
 
-/// Why the header of a detour cannot be used.
+/// Why a header between gates cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct DetourHeaderError {
     cause: String,
@@ -64,10 +78,30 @@
 
 impl fmt::Display for DetourHeaderError {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "header {DETOUR_HEADER}: {}", self.cause)
+        write!(formatter, "header of another gate: {}", self.cause)
     }
 }
 
+/// Encodes a message as the value of a header.
+fn encode_header(message: &impl Message) -> Result<HeaderValue, DetourHeaderError> {
+    let text = STANDARD_NO_PAD.encode(message.encode_to_vec());
+    HeaderValue::try_from(text).map_err(|error| DetourHeaderError {
+        cause: error.to_string(),
+    })
+}
+
+/// Decodes a message from the value of a header.
+fn decode_header<M>(value: &HeaderValue) -> Result<M, DetourHeaderError>
+where
+    M: Message + Default,
+{
+    let bytes = STANDARD_NO_PAD.decode(value.as_bytes());
+    let bytes = bytes.map_err(|error| error.to_string());
+    let message =
+        bytes.and_then(|bytes| M::decode(bytes.as_slice()).map_err(|error| error.to_string()));
+    message.map_err(|cause| DetourHeaderError { cause })
+}
+
 impl DetourBody {
     /// What another gate needs to send `request` to a server of `service`, at `now`.
     pub(crate) fn new(
@@ -147,10 +181,7 @@
     type Error = DetourHeaderError;
 
     fn try_from(body: &DetourBody) -> Result<Self, Self::Error> {
-        let text = STANDARD_NO_PAD.encode(body.encode_to_vec());
-        Self::try_from(text).map_err(|error| DetourHeaderError {
-            cause: error.to_string(),
-        })
+        encode_header(body)
     }
 }
 
@@ -158,10 +189,31 @@
     type Error = DetourHeaderError;
 
     fn try_from(value: &HeaderValue) -> Result<Self, Self::Error> {
-        let bytes = STANDARD_NO_PAD.decode(value.as_bytes());
-        let bytes = bytes.map_err(|error| error.to_string());
-        let body = bytes
-            .and_then(|bytes| Self::decode(bytes.as_slice()).map_err(|error| error.to_string()));
-        body.map_err(|cause| DetourHeaderError { cause })
+        decode_header(value)
+    }
+}
+
+impl From<&ListedServer> for AnsweringServer {
+    fn from(server: &ListedServer) -> Self {
+        Self {
+            instance: server.instance.to_string(),
+            started_ms: server.started_ms,
+        }
+    }
+}
+
+impl TryFrom<&AnsweringServer> for HeaderValue {
+    type Error = DetourHeaderError;
+
+    fn try_from(server: &AnsweringServer) -> Result<Self, Self::Error> {
+        encode_header(server)
+    }
+}
+
+impl TryFrom<&HeaderValue> for AnsweringServer {
+    type Error = DetourHeaderError;
+
+    fn try_from(value: &HeaderValue) -> Result<Self, Self::Error> {
+        decode_header(value)
     }
 }
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -21,7 +21,7 @@
 use crate::attempt::{self, AnswerBytes, EdgeAnswer, SendFailure, SendGuard, SendProgress};
 use crate::body::{EdgeBody, StreamedBody};
 use crate::core::EdgeCore;
-use crate::detour::{RequestEnd, send_through_gates};
+use crate::detour::{RequestEnd, add_answering_server, send_through_gates};
 use crate::placement::place_request;
 use crate::ports::EdgeWire;
 use crate::reach::TRIAL_PERIOD;
@@ -451,11 +451,17 @@
             retry_after: Duration::ZERO,
         });
     }
+    let mut headers = end_to_end_headers(&answer.head.headers);
+    if request.origin == RequestOrigin::Gate
+        && let Some(guard) = &guard
+    {
+        add_answering_server(&mut headers, guard.server());
+    }
     let body = match answer.body {
         AnswerBytes::Whole(bytes, lease) => EdgeBody::leased(bytes, lease),
         AnswerBytes::Streamed(body) => EdgeBody::Streamed(StreamedBody { body, guard }),
     };
     let mut response = Response::with_body(status, body);
-    *response.headers_mut() = end_to_end_headers(&answer.head.headers);
+    *response.headers_mut() = headers;
     Ok(response)
 }
