Try servers as soon as enough of them have failed

What callers saw: a gate whose callers came seconds apart, with 200 ms each, was never taken to be cut off: the failures of one request came in one moment, and those of the next too late to belong to them. Each request failed.

--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -35,6 +35,11 @@
         of_service.max(self.reach.borrow().state())
     }
 
+    /// Whether servers of a service have to be tried.
+    fn needs_trial(&self, service: &ServiceState) -> bool {
+        service.reach.borrow().needs_trial() || self.reach.borrow().needs_trial()
+    }
+
     /// Records what was seen at a server, and logs if that changes whether the servers are reached.
     pub(crate) fn note_reach(&self, service: &ServiceState, server: SocketAddr, event: ReachEvent) {
         let listed = service.table.borrow().len();
@@ -83,7 +88,7 @@
     }
 }
 
-/// Tries the servers that this gate does not reach, until the process ends.
+/// Tries the servers that this gate does not reach, or may not, until the process ends.
 pub(crate) async fn try_servers<W, S>(core: Rc<EdgeCore<W, S>>)
 where
     W: EdgeWire,
@@ -94,7 +99,7 @@
         sleep(TRIAL_PERIOD.mul_f64(rand::random_range(0.7..1.3))).await;
         core.gate_pool.sweep(core.clock.now());
         for service in core.services() {
-            if core.reach_state(&service) != ReachState::Reached {
+            if core.needs_trial(&service) {
                 try_service(&core, &service).await;
             }
         }
--- a/crates/reach/src/run.rs
+++ b/crates/reach/src/run.rs
@@ -28,6 +28,8 @@
     started_at: Moment,
     latest_at: Moment,
     is_cut: bool,
+    /// Whether enough servers have failed, in whatever time.
+    is_doubtful: bool,
     /// Servers that succeeded since the path was taken to be cut.
     restored: HashSet<SocketAddr>,
 }
@@ -38,6 +40,11 @@
         self.is_cut
     }
 
+    /// Whether enough servers have failed without a success in between, but not over enough time.
+    pub(crate) const fn is_doubtful(&self) -> bool {
+        self.is_doubtful && !self.is_cut
+    }
+
     /// Records a failure of one of `listed` servers.
     pub(crate) fn record_failure(&mut self, server: SocketAddr, listed: usize, now: Moment) {
         if self.failed.is_empty() || now.since(self.latest_at) > MAX_GAP {
@@ -46,8 +53,8 @@
         }
         self.failed.insert(server);
         self.latest_at = now;
-        let enough = self.failed.len() >= MIN_FAILED_COUNT.min(listed);
-        if enough && now.since(self.started_at) >= MIN_RUN_TIME && !self.is_cut {
+        self.is_doubtful = self.failed.len() >= MIN_FAILED_COUNT.min(listed);
+        if self.is_doubtful && now.since(self.started_at) >= MIN_RUN_TIME && !self.is_cut {
             self.is_cut = true;
             self.restored.clear();
         }
@@ -56,6 +63,7 @@
     /// Records a success of one of `listed` servers.
     pub(crate) fn record_success(&mut self, server: SocketAddr, listed: usize) {
         self.failed.clear();
+        self.is_doubtful = false;
         if self.is_cut {
             self.restored.insert(server);
             self.is_cut = self.restored.len() < MIN_RESTORED_COUNT.min(listed);
--- a/crates/reach/src/server_reach.rs
+++ b/crates/reach/src/server_reach.rs
@@ -74,6 +74,14 @@
         }
     }
 
+    /// Whether servers have to be tried to tell how far they are reached: they are not, or enough have
+    /// failed to doubt it, and there may be no further requests to find out.
+    pub const fn needs_trial(&self) -> bool {
+        !matches!(self.state(), ReachState::Reached)
+            || self.answers.is_doubtful()
+            || self.connects.is_doubtful()
+    }
+
     /// How far the servers are reached.
     pub const fn state(&self) -> ReachState {
         match (self.answers.is_cut(), self.connects.is_cut()) {
--- a/crates/reach/tests/server_reach.rs
+++ b/crates/reach/tests/server_reach.rs
@@ -155,6 +155,19 @@
     }
 }
 
+#[test]
+fn failures_in_one_moment_call_for_a_trial_and_a_success_for_none() {
+    let mut reach = ServerReach::default();
+    for number in 1..=4 {
+        reach.record(server(number), NotOpened, 19, Moment::ZERO);
+    }
+    assert_eq!(reach.state(), ReachState::Reached);
+    assert!(reach.needs_trial());
+    reach.record(server(5), Opened, 19, Moment::ZERO);
+    reach.record(server(5), Answered, 19, Moment::ZERO);
+    assert!(!reach.needs_trial());
+}
+
 proptest! {
     /// Whatever happened before, a gate that gets answers on new connections of all servers uses them.
     #[test]
