Try servers whose load probes have no tokens

What callers saw: a gate in a data centre without servers that had been cut off never returned to the servers, and refused for good what no other gate took.

Cause: trials took tokens of the bucket for load probes, which is filled for the near servers of a gate. Without near servers it stays empty, so the state ended by an event that could not come.

Change: trials take no tokens. All gates together have a fifth of the allowed load probes for them, which load probes before requests leave.

--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -31,7 +31,6 @@
     AnsweringServer, DECLINED_HEADER, DETOUR_HEADER, DetourBody, SERVER_HEADER,
 };
 use crate::ports::EdgeWire;
-use crate::reach::TRIAL_PERIOD;
 use crate::request::{EdgeRequest, RequestOrigin, read_body};
 use crate::serve::{forward_answer, relay};
 use crate::service::ServiceState;
@@ -388,7 +387,7 @@
 where
     W: EdgeWire,
 {
-    let mut response = LocalAnswer::Unreachable.response(TRIAL_PERIOD);
+    let mut response = LocalAnswer::Unreachable.response(Duration::ZERO);
     mark_not_run(core, &mut response);
     let cause = HeaderValue::from_static(cause.into());
     response.headers_mut().insert(DECLINED_HEADER, cause);
--- a/crates/edge/src/reach.rs
+++ b/crates/edge/src/reach.rs
@@ -1,10 +1,13 @@
 //! Whether this gate reaches the servers of each service, and trials of those that it does not reach.
 //!
 //! A gate that reaches no server of a service sends nothing to them by itself, so trials on new
-//! connections find out when the path is restored. They count as load probes.
+//! connections find out when the path is restored. A trial is a load probe that takes no token: the
+//! bucket of a gate may be empty for good, as in a data centre without servers. Trials have a part of
+//! the fleet's probes of their own instead.
 
 use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,12 +25,25 @@
 use crate::probe;
 use crate::service::ServiceState;
 
-/// Mean time between two trials of the servers that are not reached.
-pub(crate) const TRIAL_PERIOD: Duration = Duration::from_millis(300);
+/// Shortest mean time between two trials of the servers of a service.
+const MIN_TRIAL_PERIOD: Duration = Duration::from_millis(300);
+
+/// Longest mean time between two trials of the servers of a service.
+const MAX_TRIAL_PERIOD: Duration = Duration::from_secs(30);
+
+/// Range of the random factor on it, so that gates do not return to the servers at the same time.
+const TRIAL_JITTER: Range<f64> = 0.7..1.3;
+
+/// Time between two checks whether servers have to be tried.
+const CHECK_PERIOD: Duration = Duration::from_millis(100);
 
 /// Servers of a service in one trial.
 const TRIAL_COUNT: usize = 2;
 
+/// Fraction of the allowed load probes for the trials of all gates together, even if none of them
+/// reaches the servers. Load probes before requests leave it.
+const TRIAL_FRACTION: f64 = 0.2;
+
 impl<W, S> EdgeCore<W, S> {
     /// How far this gate reaches the servers of a service: not if it reaches none of any service.
     pub(crate) fn reach_state(&self, service: &ServiceState) -> ReachState {
@@ -35,6 +51,16 @@
         of_service.max(self.reach.borrow().state())
     }
 
+    /// Mean time between two trials of the servers of a service.
+    pub(crate) fn trial_period(&self, service: &ServiceState) -> Duration {
+        let servers = service.table.borrow().len();
+        let allowed = self.settings().bounds.probes_per_second * TRIAL_FRACTION;
+        let per_second = allowed * servers as f64 / self.fleet_size() as f64;
+        let seconds = TRIAL_COUNT.min(servers) as f64 / per_second;
+        let period = Duration::try_from_secs_f64(seconds).unwrap_or(MAX_TRIAL_PERIOD);
+        period.clamp(MIN_TRIAL_PERIOD, MAX_TRIAL_PERIOD)
+    }
+
     /// Whether servers of a service have to be tried.
     fn needs_trial(&self, service: &ServiceState) -> bool {
         service.reach.borrow().needs_trial() || self.reach.borrow().needs_trial()
@@ -95,13 +121,17 @@
     S: 'static,
 {
     loop {
-        // Random jitter, so that gates do not return to the servers at the same time.
-        sleep(TRIAL_PERIOD.mul_f64(rand::random_range(0.7..1.3))).await;
-        core.gate_pool.sweep(core.clock.now());
+        sleep(CHECK_PERIOD).await;
+        let now = core.clock.now();
+        core.gate_pool.sweep(now);
         for service in core.services() {
-            if core.needs_trial(&service) {
-                try_service(&core, &service).await;
+            if service.tried_again_at.get() > now || !core.needs_trial(&service) {
+                continue;
             }
+            let period = core.trial_period(&service);
+            let pause = period.mul_f64(rand::random_range(TRIAL_JITTER));
+            service.tried_again_at.set(now + pause);
+            try_service(&core, &service).await;
         }
     }
 }
@@ -112,10 +142,7 @@
     W: EdgeWire,
     S: 'static,
 {
-    let now = core.clock.now();
-    let mut keys = draw_servers(service, now);
-    let granted = core.probes.borrow_mut().take(keys.len(), now);
-    keys.truncate(granted);
+    let keys = draw_servers(service, core.clock.now());
     let routes = core.routes();
     let rule = routes
         .as_ref()
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -24,7 +24,6 @@
 use crate::detour::{RequestEnd, add_answering_server, send_through_gates};
 use crate::placement::place_request;
 use crate::ports::EdgeWire;
-use crate::reach::TRIAL_PERIOD;
 use crate::request::{
     EdgeRequest, RequestFault, RequestOrigin, end_to_end_headers, read_body, requested_time,
 };
@@ -187,7 +186,7 @@
         }
         if reach == ReachState::Cut {
             span.log_unreachable(&service);
-            return end_failed(state, request, NOT_REACHED, TRIAL_PERIOD);
+            return end_failed(state, request, NOT_REACHED, core.trial_period(&service));
         }
         let found =
             place_request(core, &service, request, health_path.as_ref(), &state.tried).await;
--- a/crates/edge/src/service.rs
+++ b/crates/edge/src/service.rs
@@ -7,7 +7,7 @@
 
 use foldhash::{HashMap, HashMapExt};
 use ggs_limit::FleetRetries;
-use ggs_model::ServiceName;
+use ggs_model::{Moment, ServiceName};
 use ggs_place::{LoadTable, WorkEstimate};
 use ggs_reach::{DetourTable, ServerReach};
 use ggs_route::RouteRule;
@@ -27,6 +27,8 @@
     pub(crate) retries: RefCell<FleetRetries>,
     /// Whether this gate reaches its servers.
     pub(crate) reach: RefCell<ServerReach>,
+    /// When its servers are tried again, if this gate may not reach them.
+    pub(crate) tried_again_at: Cell<Moment>,
     /// Gates that take its requests while this one does not reach its servers.
     pub(crate) detours: RefCell<DetourTable>,
     /// Estimated processing times of the routes to this service, by name of the route.
@@ -43,6 +45,7 @@
             table: RefCell::new(LoadTable::new(rand::random())),
             retries: RefCell::new(retries),
             reach: RefCell::default(),
+            tried_again_at: Cell::new(Moment::ZERO),
             detours: RefCell::new(DetourTable::new(rand::random())),
             estimates: RefCell::new(HashMap::new()),
             answers_without_load: Cell::new(0),
