Answer truly after a detour that follows earlier sends

A request that had reached a server of the first gate and was then refused by another gate got that gate's 503, though it may have run. It now ends as without the detour. A gate whose servers went away after one of them had the request no longer says that it was not sent. The run of a server is taken from the list that the request was placed by, instead of being looked up once more.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -86,7 +86,7 @@
 
 impl SendFailure {
     /// A failure before anything was sent.
-    pub(crate) const fn unsent(kind: FailureKind) -> Self {
+    const fn unsent(kind: FailureKind) -> Self {
         Self {
             kind,
             verdict: RunVerdict::NotRun,
@@ -198,8 +198,7 @@
     let server = server.ok_or(SendFailure::unsent(FailureKind::NoServer))?;
     let guard = SendGuard::start(service, key, &server);
     core.load_updates.add_send(&server.instance);
-    let started_ms = core.catalog.borrow().started_ms(&server.instance);
-    let answer = exchange(core, service, key, &server, started_ms, request, progress).await;
+    let answer = exchange(core, service, key, &server, request, progress).await;
     match answer {
         Ok(answer) => {
             let failed = answer.head.status.is_server_error();
@@ -220,7 +219,7 @@
                 // The cause has often broken the other connections to this server too.
                 FailureKind::ConnectionLost => {
                     core.pool.discard_idle(server.address);
-                    core.check_crash(&server, started_ms, request).await;
+                    core.check_crash(&server, request).await;
                 }
                 FailureKind::BadAnswer => core.pool.distrust(server.address, core.clock.now()),
                 _ => {}
@@ -230,14 +229,12 @@
     }
 }
 
-/// Sends a request to a server that started at `started_ms` and reads the answer; the caller of this
-/// function limits the time.
+/// Sends a request to a server and reads the answer; the caller of this function limits the time.
 async fn exchange<W, S>(
     core: &EdgeCore<W, S>,
     service: &ServiceState,
     key: ServerKey,
     server: &ListedServer,
-    started_ms: Option<u64>,
     request: &EdgeRequest,
     progress: &SendProgress,
 ) -> Result<EdgeAnswer, SendFailure>
@@ -276,7 +273,7 @@
     }
     if head.status != StatusCode::MISDIRECTED_REQUEST {
         core.observe_answer_limit(&server.instance, &head.headers);
-        core.observe_leaving(&server.instance, started_ms, &head.headers);
+        core.observe_leaving(&server.instance, server.started_ms, &head.headers);
         core.observe_rest(service, key, server, &head);
     }
     let framing = AnswerFraming::of(&head, &request.method);
@@ -397,7 +394,7 @@
 }
 
 /// The failure that an answer counts as, by its head; `None` if it can be forwarded.
-pub(crate) fn check_answer(
+fn check_answer(
     head: &ResponseHead,
     framing: AnswerFraming,
     names: &WireHeaders,
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -136,18 +136,14 @@
 
     /// Records a crash if a server no longer listens that has just lost its connection under a
     /// request. The server's run is the one that was listed when the request was sent.
-    pub(crate) async fn check_crash(
-        &self,
-        server: &ListedServer,
-        started_ms: Option<u64>,
-        request: &EdgeRequest,
-    ) where
+    pub(crate) async fn check_crash(&self, server: &ListedServer, request: &EdgeRequest)
+    where
         W: EdgeWire,
     {
         if is_listening(server.address).await || !self.reaches_others(server.address).await {
             return;
         }
-        let run = ServerRun::new(&server.instance, started_ms);
+        let run = ServerRun::new(&server.instance, server.started_ms);
         let now = self.clock.now();
         let changes = request.digests().map(|digest| {
             let mut crashes = self.crashes.borrow_mut();
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -262,8 +262,11 @@
         return DetourOutcome::Declined;
     }
     let retry_after = head.headers.get(RETRY_AFTER);
-    let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
-    DetourOutcome::Refused(Duration::from_secs_f64(retry_after.unwrap_or(0.0)))
+    let retry_after = retry_after.and_then(|value| {
+        let seconds = value.to_str().ok()?.parse().ok()?;
+        Duration::try_from_secs_f64(seconds).ok()
+    });
+    DetourOutcome::Refused(retry_after.unwrap_or_default())
 }
 
 /// Counts a request of another gate until it ends.
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -149,7 +149,6 @@
     if let Ok(host) = HeaderValue::from_str(&server.address.to_string()) {
         head.headers.insert(HOST, host);
     }
-    let started_ms = core.catalog.borrow().started_ms(&server.instance);
     let sent = connection.send(head, &Bytes::new()).await.is_ok();
     let head = if sent {
         connection.read_head().await.ok()
@@ -170,7 +169,7 @@
     }
     let load = core.wire.read_load(&head.headers);
     core.observe_probe_limit(&server.instance, &head.headers);
-    core.observe_leaving(&server.instance, started_ms, &head.headers);
+    core.observe_leaving(&server.instance, server.started_ms, &head.headers);
     core.observe_rest(service, key, server, &head);
     if let Ok(connection) = connection.skip_body().await
         && connection.is_reusable()
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -186,7 +186,12 @@
         }
         if reach == ReachState::Cut {
             span.log_unreachable(&service);
-            return end_failed(state, request, NOT_REACHED, core.trial_period(&service));
+            let answers = if state.arrivals == 0 {
+                NOT_REACHED
+            } else {
+                NO_SERVER
+            };
+            return end_failed(state, request, answers, core.trial_period(&service));
         }
         let found =
             place_request(core, &service, request, health_path.as_ref(), &state.tried).await;
@@ -279,7 +284,14 @@
     span.clear_server();
     let end = send_through_gates(core, service, request, attempts).await;
     state.gates_declined = end.is_none();
-    end
+    match end {
+        // The other gate does not know of earlier sends, after which the request may have run.
+        Some(Err(failure)) if state.arrivals > 0 => {
+            let state = std::mem::take(state);
+            Some(end_failed(state, request, NO_SERVER, failure.retry_after))
+        }
+        end => end,
+    }
 }
 
 /// Takes a retry from the budget if the next send is one: if an earlier one reached a server or may
@@ -390,13 +402,14 @@
     if let Some((answer, guard)) = state.error_answer {
         return forward_answer(answer, Some(guard), request);
     }
-    let answer = match answers {
-        _ if state.may_have_run => answers.may_have_run,
-        // All sends failed before a server had the request, so another gate may reach one.
-        _ if state.unopened > 0 && state.arrivals == 0 && request.origin == RequestOrigin::Gate => {
-            LocalAnswer::Unreachable
-        }
-        _ => answers.not_run,
+    let is_unreached = state.unopened > 0 && state.arrivals == 0;
+    let answer = if state.may_have_run {
+        answers.may_have_run
+    } else if is_unreached && request.origin == RequestOrigin::Gate {
+        // The gate that asks may find another one that reaches a server.
+        LocalAnswer::Unreachable
+    } else {
+        answers.not_run
     };
     Err(FinalFailure {
         answer,
