--- a/review/support/case1.rs
+++ b/review/support/case1.rs
@@ -10,11 +10,11 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Gates; the first one is partitioned from all servers for some seconds.
-const GATES: usize = 3;
+const GATES: usize = 5;
 /// Servers in the zone of each gate.
-const SERVERS: [usize; GATES] = [1, 11, 11];
+const SERVERS: [usize; GATES] = [1, 6, 6, 5, 5];
 /// Partitions, and how long each lasts.
-const ROUNDS: u64 = 4;
+const ROUNDS: u64 = 5;
 const CUT_MS: u64 = 6_000;
 const CALM_MS: u64 = 10_000;
 /// Time between two rounds of requests.
@@ -46,7 +46,7 @@
     // One server refuses part of its requests.
     let shedding: Policy = Arc::new(move |request: &Message| {
         let draw = Random::new(now_ms() ^ request.path().len() as u64).unit();
-        if SHEDS.load(Ordering::SeqCst) && draw < SHED_SHARE { Reaction::Shed } else { Reaction::Work(work(request)) }
+        if SHEDS.load(Ordering::SeqCst) && request.method() == "POST" && draw < SHED_SHARE { Reaction::Shed } else { Reaction::Work(work(request)) }
     });
     let (mut servers, mut links, mut names) = (Vec::new(), Vec::new(), Vec::new());
     let zones = (0..GATES).flat_map(|zone| std::iter::repeat(zone).take(SERVERS[zone]));
@@ -85,7 +85,7 @@
             bootstrap: true,
         }));
     }
-    let seeds: Vec<_> = gates.iter().map(|gate| gate.control).collect();
+    let seeds: Vec<_> = gates.iter().take(3).map(|gate| gate.control).collect();
     for gate in &mut gates {
         gate.options.seeds.clone_from(&seeds);
         gate.start();
@@ -112,8 +112,8 @@
                 link.set(if cut { Passes::OldConnections } else { Passes::Everything });
             }
         }
-        // In each partition, the processes of other gates are killed in turn, and start again.
-        let kills = [(1, CALM_MS + 1_200), (2, CALM_MS + 2_700), (1, CALM_MS + 4_200)];
+        // In each partition, three of the other gates are killed, one after the other, and start again.
+        let kills = [(1, CALM_MS + 1_200), (2, CALM_MS + 2_400), (3, CALM_MS + 3_600)];
         for (index, at) in kills {
             if trouble() && phase >= at && phase < at + 500 && gates[index].child.is_some() {
                 gates[index].kill();
@@ -124,7 +124,7 @@
             }
         }
         for (index, gate) in gates.iter().enumerate() {
-            let (reads, credits) = if index > 0 { (0.1, 0.1) } else { (0.4, 0.24) };
+            let (reads, credits) = if index > 0 { (0.1, 0.05) } else { (0.4, 0.24) };
             if random.unit() < reads {
                 sent += 1;
                 let mut request = Request::new("GET", &format!("/read/{sent}/w{}", 40 + random.below(40)));
