Keep what another gate's end says of a request that a server refused before

Cause: after a refusal (Not-Executed) the request went through another gate, and that gate was lost while a server ran the request. send_through_gates said rightly that it may have run. detour replaced this answer with one built from the sends before, as soon as one of them had reached a server; after a refusal their state says that nothing has run.

Change: the state of the request takes over whether the other gate's end says that it may have run, and the answer is built from the whole. A deadline that passed on the way keeps its answers.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -73,6 +73,16 @@
         }
     }
 
+    /// Whether the request may have run.
+    pub(crate) const fn may_have_run(self) -> bool {
+        matches!(self, Self::Late | Self::ServerFailed)
+    }
+
+    /// Whether the deadline passed.
+    pub(crate) const fn is_late(self) -> bool {
+        matches!(self, Self::Late | Self::LateUnsent)
+    }
+
     /// The answer without a body. A 503 tells the caller in `Retry-After`, in seconds with three
     /// decimals, when to retry.
     pub(crate) fn response(self, retry_after: Duration) -> Response<EdgeBody> {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -285,10 +285,17 @@
     let end = send_through_gates(core, service, request, attempts).await;
     state.gates_declined = end.is_none();
     match end {
-        // The other gate does not know of earlier sends, after which the request may have run.
+        // The request may have run at the other gate, or after an earlier send that this one does not
+        // know of.
         Some(Err(failure)) if state.arrivals > 0 => {
-            let state = std::mem::take(state);
-            Some(end_failed(state, request, NO_SERVER, failure.retry_after))
+            let mut state = std::mem::take(state);
+            state.may_have_run |= failure.answer.may_have_run();
+            let answers = if failure.answer.is_late() {
+                OUT_OF_TIME
+            } else {
+                NO_SERVER
+            };
+            Some(end_failed(state, request, answers, failure.retry_after))
         }
         end => end,
     }
