End a quarantine by trials, and count crashes of one accident once

Cause: CrashTable counted each server that ended under a request, so one accident under many overlapping sends looked like many crashes. And only an answer ended a quarantine, which nothing could get, as nothing was sent.

Change: a crash is kept with the time for which the server had the request; crashes that overlap count once. Gates tell one another ages. When a trial is due, a caller's repeat is sent to one server by one gate of the fleet, to which the others pass it on. A good answer ends the quarantine everywhere; failed trials are counted in datagrams and rows, and make the next one later (2 s, 30 s, 10 min, 1 h). A send that found no connection does not count as a risk. Events 408 and 409, counter quarantine_trials. Datagrams and rows gain fields, which passes over.

The test of the fleet in virtual time plays the trials too, with the same bound on sends; the tests of the table give each crash a time, and are as strict as before.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -177,6 +177,15 @@
         self.may_have_sent.get()
     }
 
+    /// The failure of a send that was given up because there was no answer in time.
+    pub(crate) fn timeout_failure(&self) -> SendFailure {
+        if self.may_have_sent() {
+            SendFailure::sent(FailureKind::AnswerTimeout)
+        } else {
+            SendFailure::unsent(FailureKind::AnswerTimeout)
+        }
+    }
+
     /// Records that bytes of the request are sent from now on.
     pub(crate) fn set_sent(&self) {
         self.may_have_sent.set(true);
@@ -197,6 +206,7 @@
     let server = service.table.borrow().server(key).cloned();
     let server = server.ok_or(SendFailure::unsent(FailureKind::NoServer))?;
     let guard = SendGuard::start(service, key, &server);
+    let sent_at = core.clock.now();
     core.load_updates.add_send(&server.instance);
     let answer = exchange(core, service, key, &server, request, progress).await;
     match answer {
@@ -219,7 +229,7 @@
                 // The cause has often broken the other connections to this server too.
                 FailureKind::ConnectionLost => {
                     core.pool.discard_idle(server.address);
-                    core.check_crash(&server, request).await;
+                    core.check_crash(&server, request, sent_at).await;
                 }
                 FailureKind::BadAnswer => core.pool.distrust(server.address, core.clock.now()),
                 _ => {}
--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -3,7 +3,7 @@
 //! When a connection is lost under a request and its server no longer listens, the server has ended,
 //! unless this gate reaches no other server either.
 //! The gates tell one another of each such crash, so that the repeats of a request count together
-//! whichever gates they come through. A request in quarantine is refused at once.
+//! whichever gates they come through. A request in quarantine is refused at once, unless a trial is due.
 //!
 //! A crash is told to the trackers of its request only, a few gates that all gates find by hashing: a
 //! crash that takes many harmless requests with it must not cost a datagram to each gate for each of
@@ -11,18 +11,18 @@
 //! to gates that start later.
 
 use std::cell::RefCell;
-use std::collections::BTreeSet;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use ggs_model::Clock;
+use ggs_model::{Clock, Moment};
 use ggs_observe::LogEvent;
 use ggs_place::ListedServer;
 use ggs_quarantine::{
-    CRASH_LIMIT, CrashChange, CrashRecord, CrashTable, RequestDigest, ServerRun, choose_trackers,
+    CRASH_LIMIT, CrashChange, CrashRecord, CrashSpan, CrashTable, RequestDigest, ServerRun,
+    choose_trackers,
 };
 use rand::seq::IteratorRandom;
 use tokio::net::{TcpStream, UdpSocket};
@@ -88,34 +88,64 @@
     }
 }
 
-impl From<&CrashRecord> for CrashBody {
-    fn from(record: &CrashRecord) -> Self {
+/// A record as it is at a moment of this gate's clock; other gates are told ages, as clocks differ.
+pub(crate) struct AgedRecord<'a> {
+    pub(crate) record: &'a CrashRecord,
+    pub(crate) now: Moment,
+}
+
+/// A record that arrived from another gate at a moment of this gate's clock.
+pub(crate) struct ReceivedRecord<'a> {
+    pub(crate) body: &'a CrashBody,
+    pub(crate) now: Moment,
+}
+
+impl From<AgedRecord<'_>> for CrashBody {
+    fn from(AgedRecord { record, now }: AgedRecord<'_>) -> Self {
+        let age_ms = |at: Moment| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        let spans: Option<Vec<_>> = record.crashes.values().copied().collect();
+        let spans = spans.unwrap_or_default();
+        let ages = spans.iter().flat_map(|span| [span.sent_at, span.lost_at]);
         Self {
             request: record.request.0.to_vec(),
-            runs: record.runs.iter().map(|run| run.0).collect(),
+            runs: record.crashes.keys().map(|run| run.0).collect(),
             answered: record.answered,
+            ages_ms: ages.map(age_ms).collect(),
+            failed_trials: record.failed_trials,
         }
     }
 }
 
-impl TryFrom<&CrashBody> for CrashRecord {
+impl TryFrom<ReceivedRecord<'_>> for CrashRecord {
     type Error = String;
 
-    fn try_from(body: &CrashBody) -> Result<Self, Self::Error> {
+    fn try_from(ReceivedRecord { body, now }: ReceivedRecord<'_>) -> Result<Self, Self::Error> {
         let request = body.request.as_slice().try_into();
         let request =
             request.map_err(|_| format!("request digest: found {} bytes", body.request.len()))?;
-        let runs: BTreeSet<_> = body.runs.iter().copied().map(ServerRun).collect();
+        let moment = |age_ms: u32| now - Duration::from_millis(age_ms.into());
+        let spans: Vec<_> = body
+            .ages_ms
+            .chunks_exact(2)
+            .map(|ages| CrashSpan {
+                sent_at: moment(ages[0]),
+                lost_at: moment(ages[1]),
+            })
+            .collect();
+        let runs = body.runs.iter().copied().map(ServerRun).enumerate();
+        let crashes = runs.map(|(index, run)| (run, spans.get(index).copied()));
         Ok(Self {
             request: RequestDigest(request),
-            runs,
+            crashes: crashes.collect(),
             answered: body.answered,
+            failed_trials: body.failed_trials,
         })
     }
 }
 
 impl<W, S> EdgeCore<W, S> {
-    /// Time left until a request in quarantine may be sent again; `None` if it may be sent now.
+    /// Time left until a request in quarantine may be tried, zero if a trial is due; `None` if it is
+    /// not in quarantine.
     pub(crate) fn quarantine_left(&self, request: &EdgeRequest) -> Option<Duration> {
         let crashes = self.crashes.borrow();
         if crashes.is_empty() {
@@ -135,11 +165,17 @@
     }
 
     /// Records a crash if a server no longer listens that has just lost its connection under a
-    /// request. The server's run is the one that was listed when the request was sent.
-    pub(crate) async fn check_crash(&self, server: &ListedServer, request: &EdgeRequest)
-    where
+    /// request that was sent at `sent_at`. The server's run is the one that was listed then.
+    pub(crate) async fn check_crash(
+        &self,
+        server: &ListedServer,
+        request: &EdgeRequest,
+        sent_at: Moment,
+    ) where
         W: EdgeWire,
     {
+        let lost_at = self.clock.now();
+        let span = CrashSpan { sent_at, lost_at };
         if is_listening(server.address).await || !self.reaches_others(server.address).await {
             return;
         }
@@ -147,7 +183,7 @@
         let now = self.clock.now();
         let changes = request.digests().map(|digest| {
             let mut crashes = self.crashes.borrow_mut();
-            (digest, crashes.record_crash(digest, run, now))
+            (digest, crashes.record_crash(digest, run, span, now))
         });
         let pairs = slog::o!(
             "server" => server.instance.to_string(),
@@ -159,7 +195,7 @@
         let message = "server ended while it had a request";
         self.log.emit(LogEvent::ServerEnded, message, pairs);
         for (digest, change) in &changes {
-            self.log_quarantine(digest, *change, "crash");
+            self.log_change(digest, *change, "crash");
         }
         self.publish_changes(request.digests()[0], &changes);
     }
@@ -188,12 +224,19 @@
             let mut crashes = self.crashes.borrow_mut();
             (digest, crashes.record_answer(digest, now))
         });
+        for (digest, change) in &changes {
+            self.log_change(digest, *change, "answer");
+        }
         self.publish_changes(request.digests()[0], &changes);
     }
 
     /// Queues what has changed for the gates that need it, and for the store. `request` is the
     /// broadest of the identities.
-    fn publish_changes(&self, request: RequestDigest, changes: &[(RequestDigest, CrashChange)]) {
+    pub(crate) fn publish_changes(
+        &self,
+        request: RequestDigest,
+        changes: &[(RequestDigest, CrashChange)],
+    ) {
         let crashes = self.crashes.borrow();
         let changed = changes
             .iter()
@@ -226,7 +269,8 @@
     pub(crate) fn apply_peer_crashes(&self, bodies: &[CrashBody]) -> Result<(), String> {
         let mut begun = Vec::new();
         for body in bodies {
-            let record = CrashRecord::try_from(body)?;
+            let now = self.clock.now();
+            let record = CrashRecord::try_from(ReceivedRecord { body, now })?;
             let change = self.merge_crashes(&record, "gate");
             // The sender does not know of the quarantine, so this gate has to tell the others.
             if change == CrashChange::Quarantined && !record.is_for_all_gates() {
@@ -243,18 +287,33 @@
     pub(crate) fn merge_crashes(&self, record: &CrashRecord, source: &'static str) -> CrashChange {
         let now = self.clock.now();
         let change = self.crashes.borrow_mut().merge(record, now);
-        self.log_quarantine(&record.request, change, source);
+        self.log_change(&record.request, change, source);
         change
     }
 
-    /// Logs the beginning of a quarantine.
-    fn log_quarantine(&self, digest: &RequestDigest, change: CrashChange, source: &'static str) {
-        if change != CrashChange::Quarantined {
-            return;
-        }
-        let pairs = slog::o!("request_digest" => digest.to_string(), "source" => source);
-        let message = "request is quarantined, as servers ended each time they ran it";
-        self.log.emit(LogEvent::RequestQuarantined, message, pairs);
+    /// Logs the beginning and the end of a quarantine.
+    fn log_change(&self, digest: &RequestDigest, change: CrashChange, source: &'static str) {
+        let (event, message) = match change {
+            CrashChange::Quarantined => (
+                LogEvent::RequestQuarantined,
+                "request is quarantined, as servers ended each time they ran it",
+            ),
+            CrashChange::Released => (
+                LogEvent::RequestReleased,
+                "request is no longer quarantined, as a server answered it",
+            ),
+            CrashChange::Unchanged | CrashChange::Changed => return,
+        };
+        let left = self
+            .crashes
+            .borrow()
+            .quarantine_left(digest, self.clock.now());
+        let pairs = slog::o!(
+            "request_digest" => digest.to_string(),
+            "source" => source,
+            "next_trial_ms" => left.map(|left| left.as_millis() as u64),
+        );
+        self.log.emit(event, message, pairs);
     }
 
     /// Some requests in quarantine, for a heartbeat.
@@ -265,7 +324,14 @@
         let records = drawn
             .into_iter()
             .filter_map(|request| crashes.record_of(request));
-        records.map(|record| CrashBody::from(&record)).collect()
+        let now = self.clock.now();
+        let bodies = records.map(|record| {
+            CrashBody::from(AgedRecord {
+                record: &record,
+                now,
+            })
+        });
+        bodies.collect()
     }
 }
 
@@ -321,8 +387,11 @@
         NewsAudience::Fleet => gates,
     };
     audience.retain(|gate| *gate != own);
+    let now = core.clock.now();
+    let records = item.records.iter();
+    let bodies = records.map(|record| CrashBody::from(AgedRecord { record, now }));
     let datagram = Datagram {
-        crashes: item.records.iter().map(CrashBody::from).collect(),
+        crashes: bodies.collect(),
         reads_store: core.reads_store(),
         ..Datagram::default()
     };
--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -156,6 +156,13 @@
     /// Whether a server has answered it since the first of them ended.
     #[prost(bool, tag = "3")]
     pub(crate) answered: bool,
+    /// For each run, the milliseconds since the request was sent and since its connection was lost;
+    /// empty if they are not known.
+    #[prost(uint32, repeated, tag = "4")]
+    pub(crate) ages_ms: Vec<u32>,
+    /// Trials of the request that failed.
+    #[prost(uint32, tag = "5")]
+    pub(crate) failed_trials: u32,
 }
 
 /// Load reports that the sender received in the last milliseconds, and requests that it sent.
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -157,6 +157,15 @@
     }
 }
 
+/// How another gate treated a request.
+#[derive(Debug)]
+pub(crate) enum GateEnd {
+    /// It has ended.
+    Ended(RequestEnd),
+    /// The gate does not take it, or could not be reached, and it has not run.
+    Declined,
+}
+
 /// Sends a request of a caller through other gates; `None` if none takes it. The request has not run
 /// then.
 ///
@@ -174,41 +183,69 @@
     while tried.len() < MAX_GATE_COUNT {
         let gate = core.choose_gate(service, &tried)?;
         tried.push(gate.address);
-        let progress = SendProgress::default();
-        let time_left = request.answer_by.since(core.clock.now());
-        let send = send_to_gate(core, gate.address, service, request, attempts, &progress);
-        let outcome = match timeout(time_left, send).await {
-            Ok(outcome) => outcome,
-            Err(_) if progress.may_have_sent() => DetourOutcome::Lost,
-            Err(_) => DetourOutcome::NotOpened,
-        };
-        core.note_detour(service, &gate, &outcome);
-        let is_late = core.clock.now() >= request.answer_by;
-        let failure = |answer| {
-            Some(Err(FinalFailure {
-                answer,
-                retry_after: Duration::ZERO,
-            }))
-        };
-        match outcome {
-            DetourOutcome::Answered(answer) => {
-                return Some(forward_answer(*answer, None, request));
-            }
-            DetourOutcome::Refused(retry_after) => {
-                return Some(Err(FinalFailure {
-                    answer: LocalAnswer::NoCapacity,
-                    retry_after,
-                }));
-            }
-            DetourOutcome::Lost if is_late => return failure(LocalAnswer::Late),
-            DetourOutcome::Lost => return failure(LocalAnswer::ServerFailed),
-            _ if is_late => return failure(LocalAnswer::LateUnsent),
-            DetourOutcome::Declined | DetourOutcome::NotOpened => {}
+        let end = send_through_gate(core, &gate, service, request, attempts).await;
+        if let GateEnd::Ended(end) = end {
+            return Some(end);
         }
     }
     None
 }
 
+/// Sends a request in quarantine through the gate at an address, which tries it at one server.
+pub(crate) async fn send_to_trial_gate<W, S>(
+    core: &EdgeCore<W, S>,
+    address: SocketAddr,
+    service: &ServiceState,
+    request: &EdgeRequest,
+) -> GateEnd
+where
+    W: EdgeWire,
+{
+    let gates = core.detour_gates();
+    let gate = gates.iter().find(|gate| gate.address == address);
+    let Some(gate) = gate else {
+        return GateEnd::Declined;
+    };
+    send_through_gate(core, gate, service, request, 1).await
+}
+
+/// Sends a request of a caller through a gate.
+async fn send_through_gate<W, S>(
+    core: &EdgeCore<W, S>,
+    gate: &DetourGate,
+    service: &ServiceState,
+    request: &EdgeRequest,
+    attempts: u32,
+) -> GateEnd
+where
+    W: EdgeWire,
+{
+    let progress = SendProgress::default();
+    let time_left = request.answer_by.since(core.clock.now());
+    let send = send_to_gate(core, gate.address, service, request, attempts, &progress);
+    let outcome = match timeout(time_left, send).await {
+        Ok(outcome) => outcome,
+        Err(_) if progress.may_have_sent() => DetourOutcome::Lost,
+        Err(_) => DetourOutcome::NotOpened,
+    };
+    core.note_detour(service, gate, &outcome);
+    let is_late = core.clock.now() >= request.answer_by;
+    let failure = |answer, retry_after| {
+        GateEnd::Ended(Err(FinalFailure {
+            answer,
+            retry_after,
+        }))
+    };
+    match outcome {
+        DetourOutcome::Answered(answer) => GateEnd::Ended(forward_answer(*answer, None, request)),
+        DetourOutcome::Refused(retry_after) => failure(LocalAnswer::NoCapacity, retry_after),
+        DetourOutcome::Lost if is_late => failure(LocalAnswer::Late, Duration::ZERO),
+        DetourOutcome::Lost => failure(LocalAnswer::ServerFailed, Duration::ZERO),
+        _ if is_late => failure(LocalAnswer::LateUnsent, Duration::ZERO),
+        DetourOutcome::Declined | DetourOutcome::NotOpened => GateEnd::Declined,
+    }
+}
+
 /// Sends a request to another gate and reads its answer; the caller of this function limits the time.
 async fn send_to_gate<W, S>(
     core: &EdgeCore<W, S>,
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -48,6 +48,7 @@
 mod span;
 mod startup;
 mod store_health;
+mod trial;
 
 pub use catalog::{CatalogDiff, ServerCatalog};
 pub use handle::{EdgeError, EdgeHandle, start};
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -62,6 +62,7 @@
     rests: Counter,
     detours: Family<OutcomeLabels, Counter>,
     taken: Family<StatusLabels, Counter>,
+    trials: Family<OutcomeLabels, Counter>,
     probes: Counter,
     probe_failures: Counter,
     store_failures: Counter,
@@ -103,6 +104,9 @@
         taken.get_or_create(&StatusLabels { status: 200 }).inc_by(0);
         let help = "Requests of other gates by the status of the answer";
         registry.register("detours_taken", help, taken.clone());
+        let trials = Family::default();
+        let help = "Trials of requests in quarantine by how they ended";
+        registry.register("quarantine_trials", help, trials.clone());
         let probes = Counter::default();
         registry.register("asks", "Questions for the load of servers", probes.clone());
         let probe_failures = Counter::default();
@@ -131,6 +135,7 @@
             rests,
             detours,
             taken,
+            trials,
             probes,
             probe_failures,
             store_failures,
@@ -174,6 +179,11 @@
         self.detours.get_or_create(&OutcomeLabels { outcome }).inc();
     }
 
+    /// Counts how a trial of a request in quarantine ended.
+    pub(crate) fn count_trial(&self, outcome: &'static str) {
+        self.trials.get_or_create(&OutcomeLabels { outcome }).inc();
+    }
+
     /// Counts an answer to a request of another gate.
     pub(crate) fn count_taken(&self, status: u16) {
         self.taken.get_or_create(&StatusLabels { status }).inc();
--- a/crates/edge/src/quarantine.rs
+++ b/crates/edge/src/quarantine.rs
@@ -11,7 +11,7 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use ggs_model::Clock;
-use ggs_quarantine::{QUARANTINE_TIME, RequestDigest};
+use ggs_quarantine::RequestDigest;
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
@@ -62,10 +62,12 @@
 
     /// Reads all rows, and removes those that have expired.
     async fn read_quarantine(&self) -> Result<(), FleetError> {
-        let oldest_ms = wall_clock_ms().saturating_sub(QUARANTINE_TIME.as_millis() as u64);
+        let now_ms = wall_clock_ms();
         let rows = self.store.read_quarantine().await?;
-        let (expired, valid): (Vec<_>, Vec<_>) =
-            rows.into_iter().partition(|row| row.written_ms < oldest_ms);
+        let (expired, valid): (Vec<_>, Vec<_>) = rows.into_iter().partition(|row| {
+            let memory_ms = row.record.memory_time().as_millis() as u64;
+            row.written_ms < now_ms.saturating_sub(memory_ms)
+        });
         for row in valid {
             self.merge_crashes(&row.record, "store");
         }
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -12,6 +12,7 @@
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode, Uri};
 use ggs_model::{Clock, Moment, RunVerdict};
 use ggs_place::{Placement, ServerKey};
+use ggs_quarantine::TrialEnd;
 use ggs_reach::{ReachEvent, ReachState};
 use ggs_relay::FailureKind;
 use ggs_route::{RepeatRule, RouteTable};
@@ -29,6 +30,7 @@
 };
 use crate::service::ServiceState;
 use crate::span::RequestSpan;
+use crate::trial::{TrialGuard, TrialStart, spread_return, start_trial};
 
 /// Most sends of one request, including those that did not reach a server. Only sends that reached a
 /// server, or may have, count towards the `attempts` of the route.
@@ -174,12 +176,22 @@
     let rule = routes.service(name.as_str());
     let health_path = rule.and_then(|rule| rule.health_path.parse::<Uri>().ok());
     let mut state = RelayState::default();
-    let quarantine_left = loop {
-        if let Some(left) = core.quarantine_left(request) {
-            break left;
+    let trial = match start_trial(core, &service, request).await {
+        TrialStart::Unneeded => None,
+        TrialStart::Here(trial) => Some(trial),
+        TrialStart::Ended(end) => return end,
+        TrialStart::Held(left) => return hold_request(&service, request, state, left, span),
+    };
+    loop {
+        if trial.is_none()
+            && let Some(left) = core.quarantine_left(request)
+        {
+            return hold_request(&service, request, state, left, span);
         }
         let reach = core.reach_state(&service);
-        if (reach >= ReachState::Silent || state.unopened >= MAX_UNOPENED_COUNT)
+        // A trial is made at the gate that was chosen for it.
+        if trial.is_none()
+            && (reach >= ReachState::Silent || state.unopened >= MAX_UNOPENED_COUNT)
             && let Some(end) = detour(core, &service, request, &mut state, span).await
         {
             return end;
@@ -203,10 +215,13 @@
             }
         };
         // It may have been quarantined while it was placed.
-        if let Some(left) = core.quarantine_left(request) {
-            break left;
+        if trial.is_none()
+            && let Some(left) = core.quarantine_left(request)
+        {
+            return hold_request(&service, request, state, left, span);
         }
-        if reach == ReachState::OpenConnections
+        if trial.is_none()
+            && reach == ReachState::OpenConnections
             && !has_open_connection(core, &service, placement.server)
             && let Some(end) = detour(core, &service, request, &mut state, span).await
         {
@@ -217,23 +232,9 @@
             return end_failed(state, request, NO_SERVER, FAILED_RETRY_AFTER);
         }
         span.set_server(&service, &placement);
-        let sent_at = core.clock.now();
-        let progress = SendProgress::default();
-        let time_left = request.answer_by.since(sent_at);
-        let send = attempt::send(core, &service, placement.server, request, &progress);
-        let result = timeout(time_left, send).await;
-        let Ok(result) = result else {
-            note_answer_timeout(core, &service, placement.server, &progress);
-            state.may_have_run |= progress.may_have_sent();
-            span.log_failed_send(&service, &placement, FailureKind::AnswerTimeout);
-            return end_failed(state, request, OUT_OF_TIME, FAILED_RETRY_AFTER);
-        };
-        let failure = match result {
+        let sent = send_once(core, &service, request, &placement, trial.as_ref()).await;
+        let failure = match sent {
             Ok((answer, guard)) => {
-                if !answer.head.status.is_server_error() {
-                    core.note_answered(request);
-                }
-                observe_work(core, &service, request, &placement, sent_at, &answer);
                 if !should_retry_error(&answer, request, &state, &service) {
                     return forward_answer(answer, Some(guard), request);
                 }
@@ -251,15 +252,72 @@
         state.arrivals += u32::from(failure.arrived);
         state.unopened += u32::from(failure.kind == FailureKind::ConnectFailed);
         state.may_have_run |= failure.verdict != RunVerdict::NotRun;
-        if core.clock.now() >= request.answer_by {
+        if core.clock.now() >= request.answer_by || failure.kind == FailureKind::AnswerTimeout {
             return end_failed(state, request, OUT_OF_TIME, FAILED_RETRY_AFTER);
         }
-        if !may_retry(&state, request) || !core.may_risk_server(request) {
+        let risks_server = state.arrivals > 0 && !core.may_risk_server(request);
+        if !may_retry(&state, request) || risks_server {
             return end_failed(state, request, NO_SERVER, FAILED_RETRY_AFTER);
         }
+    }
+}
+
+/// Sends a request to a server, until the time for its answer is over.
+async fn send_once<W, S>(
+    core: &Rc<EdgeCore<W, S>>,
+    service: &Rc<ServiceState>,
+    request: &EdgeRequest,
+    placement: &Placement,
+    trial: Option<&TrialGuard<W, S>>,
+) -> Result<(EdgeAnswer, SendGuard), SendFailure>
+where
+    W: EdgeWire,
+    S: 'static,
+{
+    let server = placement.server;
+    let sent_at = core.clock.now();
+    let progress = SendProgress::default();
+    let set_trial_end = |end| {
+        if let Some(trial) = trial {
+            trial.set_end(end);
+        }
     };
-    span.log_quarantine(&service, quarantine_left);
-    end_failed(state, request, QUARANTINED, quarantine_left)
+    // Holds if the caller leaves.
+    set_trial_end(TrialEnd::Failed);
+    let send = attempt::send(core, service, server, request, &progress);
+    let result = timeout(request.answer_by.since(sent_at), send).await;
+    let result = result.unwrap_or_else(|_| {
+        note_answer_timeout(core, service, server, &progress);
+        Err(progress.timeout_failure())
+    });
+    match &result {
+        Ok((answer, _)) => {
+            observe_work(core, service, request, placement, sent_at, answer);
+            if !answer.head.status.is_server_error() {
+                core.note_answered(request);
+                set_trial_end(TrialEnd::Answered);
+            }
+        }
+        Err(failure) if failure.verdict == RunVerdict::NotRun => set_trial_end(TrialEnd::Unsent),
+        Err(_) => {}
+    }
+    result
+}
+
+/// The end of a request in quarantine that is not sent, `left` before its next trial.
+fn hold_request<W, S>(
+    service: &ServiceState,
+    request: &EdgeRequest,
+    state: RelayState,
+    left: Duration,
+    span: &RequestSpan<'_, W, S>,
+) -> RequestEnd
+where
+    W: EdgeWire,
+{
+    let retry_after = spread_return(left);
+    span.log_quarantine(service, retry_after);
+    end_failed(state, request, QUARANTINED, retry_after)
 }
 
 /// Sends a request through other gates, if a caller sent it and it may still reach a server; `None` if
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -102,6 +102,10 @@
     BodyNotRead = 406,
     /// Servers ended each time they ran a request, which gets no more servers.
     RequestQuarantined = 407,
+    /// A server answered a request in quarantine, which is sent again from now on.
+    RequestReleased = 408,
+    /// A request in quarantine was tried at a server, which brought no good answer.
+    TrialFailed = 409,
     /// Heartbeats arrived from gates that are new or were unreachable.
     GateJoined = 500,
     /// Another gate announced that it stops.
@@ -145,6 +149,7 @@
             | Self::ServerUnreadable
             | Self::StoreRestored
             | Self::RequestQuarantined
+            | Self::TrialFailed
             | Self::ServersUnreachable
             | Self::GateWithdrawn
             | Self::GatesLost
@@ -164,6 +169,7 @@
             | Self::RequestRefused
             | Self::CallerLeft
             | Self::BodyNotRead
+            | Self::RequestReleased
             | Self::DocumentsFresh
             | Self::PlatformRecovered
             | Self::ServerLeaving
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,34 +1,83 @@
 //! The table of suspected and quarantined requests.
 
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use foldhash::HashMap;
 use ggs_model::Moment;
+use strum::IntoStaticStr;
 
 use crate::{RequestDigest, ServerRun};
 
-/// Server runs that must have ended under a request before it is quarantined.
+/// Independent crashes under a request before it is quarantined.
 pub const CRASH_LIMIT: usize = 3;
 
 /// Time for which a suspected request is remembered after its last crash.
 const SUSPICION_TIME: Duration = Duration::from_mins(2);
 
-/// Time for which a quarantined request, or one that a server answered after a crash, is remembered.
-pub const QUARANTINE_TIME: Duration = Duration::from_hours(1);
+/// Time for which a quarantined request is remembered after its next trial is due, and one that a
+/// server answered after a crash is remembered at all.
+const QUARANTINE_TIME: Duration = Duration::from_hours(1);
+
+/// Time from the beginning of a quarantine to its first trial, and from each failed trial to the next;
+/// the last holds for all later ones. The first is short, as most quarantines after accidents are
+/// wrong; the others keep the sends of a request that does end its servers within the users' bound.
+const TRIAL_PAUSES: [Duration; 4] = [
+    Duration::from_secs(2),
+    Duration::from_secs(30),
+    Duration::from_mins(10),
+    Duration::from_hours(1),
+];
+
+/// Time until the next trial after one that did not reach a server, and longest time that is stated
+/// while a trial is under way.
+pub const TRIAL_RETRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Most requests in the table. Beyond that, those whose time ends first are forgotten.
 const MAX_ENTRY_COUNT: usize = 4_096;
 
+/// The time for which a server had a request before it ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CrashSpan {
+    /// When the request was sent.
+    pub sent_at: Moment,
+    /// When its connection was lost.
+    pub lost_at: Moment,
+}
+
+impl CrashSpan {
+    /// Whether there is a moment at which both servers had the request. One accident may have ended
+    /// both then, so they count as one crash.
+    ///
+    /// ```
+    /// use ggs_model::Moment;
+    /// use ggs_quarantine::CrashSpan;
+    ///
+    /// let span = |sent_ms, lost_ms| CrashSpan {
+    ///     sent_at: Moment::from_millis(sent_ms),
+    ///     lost_at: Moment::from_millis(lost_ms),
+    /// };
+    /// assert!(span(0, 100).overlaps(&span(60, 101)));
+    /// // The second was sent after the first had ended its server.
+    /// assert!(!span(0, 100).overlaps(&span(100, 180)));
+    /// ```
+    pub fn overlaps(&self, other: &Self) -> bool {
+        self.sent_at.max(other.sent_at) < self.lost_at.min(other.lost_at)
+    }
+}
+
 /// What is known of one request; gates send records to one another.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CrashRecord {
     /// The request.
     pub request: RequestDigest,
-    /// Server runs that ended under it; at most [`CRASH_LIMIT`].
-    pub runs: BTreeSet<ServerRun>,
+    /// Server runs that ended under it, each in an accident of its own, with the time for which the
+    /// server had it if that is known; at most [`CRASH_LIMIT`].
+    pub crashes: BTreeMap<ServerRun, Option<CrashSpan>>,
     /// Whether a server has answered it since the first crash, which shows that it is harmless.
     pub answered: bool,
+    /// Trials that reached a server and brought no good answer.
+    pub failed_trials: u32,
 }
 
 impl CrashRecord {
@@ -40,41 +89,131 @@
     ///
     /// let record = |runs: std::ops::Range<u64>| CrashRecord {
     ///     request: RequestDigest([1; 16]),
-    ///     runs: runs.map(ServerRun).collect(),
+    ///     crashes: runs.map(|run| (ServerRun(run), None)).collect(),
     ///     answered: false,
+    ///     failed_trials: 0,
     /// };
     /// assert!(!record(0..2).is_for_all_gates());
     /// assert!(record(0..3).is_for_all_gates());
     /// ```
     pub fn is_for_all_gates(&self) -> bool {
-        self.runs.len() >= CRASH_LIMIT
+        self.crashes.len() >= CRASH_LIMIT
+    }
+
+    /// Time for which the record is remembered after its last change.
+    pub fn memory_time(&self) -> Duration {
+        memory_time(self.crashes.len(), self.answered, self.failed_trials)
     }
 }
 
+/// Time for which what is known of a request is remembered after its last change.
+fn memory_time(crash_count: usize, answered: bool, failed_trials: u32) -> Duration {
+    if answered {
+        QUARANTINE_TIME
+    } else if crash_count >= CRASH_LIMIT {
+        trial_pause(failed_trials) + QUARANTINE_TIME
+    } else {
+        SUSPICION_TIME
+    }
+}
+
+/// Time to the next trial of a request in quarantine after a number of failed ones.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// let pauses: Vec<_> = (0..5).map(ggs_quarantine::trial_pause).collect();
+/// assert_eq!(pauses[0], Duration::from_secs(2));
+/// assert!(pauses.is_sorted());
+/// assert_eq!(pauses[4], pauses[3]);
+/// ```
+pub fn trial_pause(failed_trials: u32) -> Duration {
+    let last = TRIAL_PAUSES.len() - 1;
+    TRIAL_PAUSES[last.min(failed_trials as usize)]
+}
+
+/// How a trial of a request in quarantine ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+pub enum TrialEnd {
+    /// A server ran the request to a good end; [`CrashTable::record_answer`] ends the quarantine.
+    Answered,
+    /// The request may have run, and there is no good answer.
+    Failed,
+    /// The request has not run.
+    Unsent,
+    /// Another gate, which makes the trials, has the next one after this time.
+    NotDue(Duration),
+}
+
 /// How a report changed what is known of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CrashChange {
     /// Not at all.
     Unchanged,
-    /// Another server has ended, or a server has answered.
+    /// Another server has ended, a trial has failed, or a server has answered.
     Changed,
     /// It is quarantined from now on.
     Quarantined,
+    /// A server has answered it, which ends its quarantine.
+    Released,
 }
 
 /// An entry of the table.
 #[derive(Clone, Debug)]
 struct CrashEntry {
-    runs: BTreeSet<ServerRun>,
+    crashes: BTreeMap<ServerRun, Option<CrashSpan>>,
     answered: bool,
+    failed_trials: u32,
+    /// When a request in quarantine may be tried.
+    trial_at: Moment,
+    /// When a trial ends at the latest that is under way at this gate.
+    trying_until: Option<Moment>,
     /// When the entry is forgotten.
     expires_at: Moment,
 }
 
 impl CrashEntry {
-    /// Whether the request must not be sent.
+    const fn new(now: Moment) -> Self {
+        Self {
+            crashes: BTreeMap::new(),
+            answered: false,
+            failed_trials: 0,
+            trial_at: now,
+            trying_until: None,
+            expires_at: now,
+        }
+    }
+
+    /// Whether the request must not be sent, but for trials.
     fn is_quarantined(&self) -> bool {
-        self.runs.len() >= CRASH_LIMIT && !self.answered
+        self.crashes.len() >= CRASH_LIMIT && !self.answered
+    }
+
+    /// Whether a crash may have the same cause as one that is counted already.
+    fn has_overlap(&self, span: Option<&CrashSpan>) -> bool {
+        let spans = self.crashes.values().flatten();
+        span.is_some_and(|span| spans.into_iter().any(|counted| counted.overlaps(span)))
+    }
+
+    /// Adds what another gate knows; returns whether anything is new.
+    fn merge(&mut self, record: &CrashRecord) -> bool {
+        let mut is_new = record.answered && !self.answered;
+        self.answered |= record.answered;
+        // The crashes of a quarantine are known to be independent.
+        let are_independent = record.is_for_all_gates();
+        for (run, span) in &record.crashes {
+            let is_counted = self.crashes.len() >= CRASH_LIMIT || self.crashes.contains_key(run);
+            if !is_counted && (are_independent || !self.has_overlap(span.as_ref())) {
+                self.crashes.insert(*run, *span);
+                is_new = true;
+            }
+        }
+        if record.failed_trials > self.failed_trials {
+            self.failed_trials = record.failed_trials;
+            is_new = true;
+        }
+        is_new
     }
 }
 
@@ -82,16 +221,20 @@
 ///
 /// ```
 /// use ggs_model::Moment;
-/// use ggs_quarantine::{CrashChange, CrashTable, RequestDigest, ServerRun};
+/// use ggs_quarantine::{CrashChange, CrashSpan, CrashTable, RequestDigest, ServerRun};
 ///
 /// let (mut table, request) = (CrashTable::default(), RequestDigest([1; 16]));
-/// for run in 1..3 {
-///     let change = table.record_crash(request, ServerRun(run), Moment::ZERO);
-///     assert_eq!(change, CrashChange::Changed);
+/// let mut changes = Vec::new();
+/// for run in 1..=3 {
+///     let span = CrashSpan {
+///         sent_at: Moment::from_millis(run * 100),
+///         lost_at: Moment::from_millis(run * 100 + 50),
+///     };
+///     changes.push(table.record_crash(request, ServerRun(run), span, span.lost_at));
 /// }
-/// let change = table.record_crash(request, ServerRun(3), Moment::ZERO);
-/// assert_eq!(change, CrashChange::Quarantined);
-/// assert!(table.quarantine_left(&request, Moment::ZERO).is_some());
+/// assert_eq!(changes[..2], [CrashChange::Changed; 2]);
+/// assert_eq!(changes[2], CrashChange::Quarantined);
+/// assert!(table.quarantine_left(&request, Moment::from_millis(350)).is_some());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct CrashTable {
@@ -104,13 +247,15 @@
         &mut self,
         request: RequestDigest,
         run: ServerRun,
+        span: CrashSpan,
         now: Moment,
     ) -> CrashChange {
         self.merge(
             &CrashRecord {
                 request,
-                runs: BTreeSet::from([run]),
+                crashes: BTreeMap::from([(run, Some(span))]),
                 answered: false,
+                failed_trials: 0,
             },
             now,
         )
@@ -124,8 +269,9 @@
         self.merge(
             &CrashRecord {
                 request,
-                runs: BTreeSet::new(),
+                crashes: BTreeMap::new(),
                 answered: true,
+                failed_trials: 0,
             },
             now,
         )
@@ -135,53 +281,95 @@
     pub fn merge(&mut self, record: &CrashRecord, now: Moment) -> CrashChange {
         self.entries.retain(|_, entry| entry.expires_at > now);
         let entry = self.entries.entry(record.request);
-        let entry = entry.or_insert_with(|| CrashEntry {
-            runs: BTreeSet::new(),
-            answered: false,
-            expires_at: now,
-        });
-        let (was_quarantined, run_count) = (entry.is_quarantined(), entry.runs.len());
-        let news = record.answered && !entry.answered;
-        entry.answered |= record.answered;
-        for run in &record.runs {
-            if entry.runs.len() < CRASH_LIMIT {
-                entry.runs.insert(*run);
-            }
-        }
-        if !news && entry.runs.len() == run_count {
+        let entry = entry.or_insert_with(|| CrashEntry::new(now));
+        let was_quarantined = entry.is_quarantined();
+        if !entry.merge(record) {
             return CrashChange::Unchanged;
         }
-        let time = if entry.is_quarantined() || entry.answered {
-            QUARANTINE_TIME
-        } else {
-            SUSPICION_TIME
-        };
+        let time = memory_time(entry.crashes.len(), entry.answered, entry.failed_trials);
         entry.expires_at = now + time;
-        let change = if entry.is_quarantined() && !was_quarantined {
-            CrashChange::Quarantined
-        } else {
-            CrashChange::Changed
+        entry.trial_at = now + trial_pause(entry.failed_trials);
+        let change = match (was_quarantined, entry.is_quarantined()) {
+            (false, true) => CrashChange::Quarantined,
+            (true, false) => CrashChange::Released,
+            _ => CrashChange::Changed,
         };
         self.drop_excess();
         change
     }
 
+    /// Records that this gate tries a request in quarantine, or asks the gate that does, until `until`
+    /// at the latest. Nobody else at this gate tries it meanwhile.
+    pub fn start_trial(&mut self, request: &RequestDigest, until: Moment) {
+        if let Some(entry) = self.entries.get_mut(request) {
+            entry.trying_until = Some(until);
+        }
+    }
+
+    /// Records how a trial ended.
+    pub fn end_trial(
+        &mut self,
+        request: &RequestDigest,
+        end: TrialEnd,
+        now: Moment,
+    ) -> CrashChange {
+        let Some(entry) = self.entries.get_mut(request) else {
+            return CrashChange::Unchanged;
+        };
+        entry.trying_until = None;
+        let pause = match end {
+            TrialEnd::Answered => return CrashChange::Unchanged,
+            TrialEnd::Unsent => TRIAL_RETRY_PAUSE,
+            TrialEnd::NotDue(time) => time,
+            TrialEnd::Failed => {
+                let record = CrashRecord {
+                    request: *request,
+                    crashes: BTreeMap::new(),
+                    answered: false,
+                    failed_trials: entry.failed_trials + 1,
+                };
+                return self.merge(&record, now);
+            }
+        };
+        entry.trial_at = now + pause;
+        CrashChange::Unchanged
+    }
+
+    /// Trials of a request that have failed.
+    pub fn failed_trials(&self, request: &RequestDigest) -> u32 {
+        let entry = self.entries.get(request);
+        entry.map_or(0, |entry| entry.failed_trials)
+    }
+
     /// Whether no request is known.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
-    /// Server runs that are known to have ended under a request that no server has answered.
+    /// Independent crashes under a request that no server has answered.
     pub fn crash_count(&self, request: &RequestDigest) -> usize {
         let entry = self.entries.get(request);
-        entry.map_or(0, |entry| if entry.answered { 0 } else { entry.runs.len() })
+        entry.map_or(0, |entry| {
+            if entry.answered {
+                0
+            } else {
+                entry.crashes.len()
+            }
+        })
     }
 
-    /// Time left until a quarantined request may be sent again; `None` if it may be sent now.
+    /// Time left until a request in quarantine may be tried, zero if a trial is due; `None` if it is
+    /// not in quarantine.
     pub fn quarantine_left(&self, request: &RequestDigest, now: Moment) -> Option<Duration> {
         let entry = self.entries.get(request)?;
-        let left = entry.expires_at.since(now);
-        (entry.is_quarantined() && !left.is_zero()).then_some(left)
+        if !entry.is_quarantined() || entry.expires_at <= now {
+            return None;
+        }
+        let trying_until = entry.trying_until.filter(|until| *until > now);
+        Some(match trying_until {
+            Some(until) => until.since(now).min(TRIAL_RETRY_PAUSE),
+            None => entry.trial_at.since(now),
+        })
     }
 
     /// What is known of a request; `None` if it is not known.
@@ -189,12 +377,13 @@
         let entry = self.entries.get(request)?;
         Some(CrashRecord {
             request: *request,
-            runs: entry.runs.clone(),
+            crashes: entry.crashes.clone(),
             answered: entry.answered,
+            failed_trials: entry.failed_trials,
         })
     }
 
-    /// The requests that must not be sent at `now`.
+    /// The requests in quarantine at `now`.
     pub fn quarantined(&self, now: Moment) -> impl Iterator<Item = &RequestDigest> {
         let entries = self.entries.iter();
         let quarantined =
--- a/crates/quarantine/tests/fleet.rs
+++ b/crates/quarantine/tests/fleet.rs
@@ -1,11 +1,13 @@
 //! A fleet in virtual time: the repeats of a request come through random gates, and each send ends a
 //! server. Datagrams are lost, gates are away or forget, and gates differ in which gates they know.
+//! Repeats in quarantine are passed on to the gate that tries the request.
 
 use std::time::Duration;
 
 use ggs_model::Moment;
 use ggs_quarantine::{
-    CRASH_LIMIT, CrashChange, CrashTable, RequestDigest, ServerRun, choose_trackers,
+    CRASH_LIMIT, CrashChange, CrashSpan, CrashTable, RequestDigest, ServerRun, TrialEnd,
+    choose_trackers,
 };
 use proptest::prelude::*;
 use rand::SeedableRng;
@@ -16,6 +18,12 @@
 /// Time between two repeats.
 const REPEAT_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Time for which a server runs the request before it ends.
+const RUN_TIME: Duration = Duration::from_millis(88);
+
+/// Gates that may try a request in quarantine.
+const TRIAL_GATE_COUNT: usize = 3;
+
 /// Repeats of the request.
 const REPEAT_COUNT: u32 = 120;
 
@@ -97,14 +105,53 @@
         }
     }
 
+    /// The gates that a gate knows.
+    fn known_gates(&mut self) -> Vec<usize> {
+        let all: Vec<usize> = (0..self.case.gate_count).collect();
+        let known = all.into_iter();
+        known
+            .filter(|_| !self.happens(self.case.unknown_percent))
+            .collect()
+    }
+
+    /// Whether a repeat that arrives at a gate is sent to a server, and by which gate.
+    fn sending_gate(&mut self, gate: usize) -> Option<usize> {
+        let left = self.tables[gate].quarantine_left(&REQUEST, self.now);
+        let Some(left) = left else { return Some(gate) };
+        if !left.is_zero() {
+            return None;
+        }
+        let mut candidates = choose_trackers(&REQUEST, &self.known_gates());
+        candidates.truncate(TRIAL_GATE_COUNT);
+        let other = candidates.into_iter().find(|other| !self.is_away[*other])?;
+        let left = self.tables[other].quarantine_left(&REQUEST, self.now);
+        let left = left.unwrap_or_default();
+        if left.is_zero() {
+            return Some(other);
+        }
+        self.tables[gate].end_trial(&REQUEST, TrialEnd::NotDue(left), self.now);
+        None
+    }
+
+    /// Sends the request to a server, which ends.
+    fn send(&mut self, gate: usize, run: ServerRun) {
+        let table = &mut self.tables[gate];
+        if table.quarantine_left(&REQUEST, self.now).is_some() {
+            table.end_trial(&REQUEST, TrialEnd::Failed, self.now);
+        } else {
+            let span = CrashSpan {
+                sent_at: self.now,
+                lost_at: self.now + RUN_TIME,
+            };
+            table.record_crash(REQUEST, run, span, self.now);
+        }
+        self.publish(gate);
+    }
+
     /// Tells the gates that need it what has changed at a gate.
     fn publish(&mut self, gate: usize) {
         let record = self.tables[gate].record_of(&REQUEST).unwrap();
-        let all: Vec<usize> = (0..self.case.gate_count).collect();
-        let known: Vec<usize> = all
-            .into_iter()
-            .filter(|_| !self.happens(self.case.unknown_percent))
-            .collect();
+        let known = self.known_gates();
         let audience = if record.is_for_all_gates() {
             known.repeat(QUARANTINE_SEND_COUNT)
         } else {
@@ -148,18 +195,13 @@
             if self.is_away[gate] {
                 continue;
             }
-            if self.tables[gate]
-                .quarantine_left(&REQUEST, self.now)
-                .is_none()
-            {
-                let restarted_at = self.restarted_at[gate];
+            if let Some(sender) = self.sending_gate(gate) {
+                let restarted_at = self.restarted_at[sender];
                 sends.push(FleetSend {
                     at: self.now,
                     in_touch: restarted_at.is_none_or(|at| self.now.since(at) >= NEWS_TIME),
                 });
-                let run = ServerRun(u64::from(repeat));
-                self.tables[gate].record_crash(REQUEST, run, self.now);
-                self.publish(gate);
+                self.send(sender, ServerRun(u64::from(repeat)));
             }
             self.pass_time();
         }
