Take a refusal without an id for an answer on new connections only

What callers saw, in a test: a non-idempotent request that two servers ran was answered 503, which promises that it has not run (REFUSED, TWICE). Other operators had reported it: a faulty server wrote an earlier refusal once more on a kept connection.

Cause: read_matching_head took a refusal without Request-Id for the answer to the request sent last.

Change: without an id, a refusal counts only as the first answer on a new connection. Elsewhere the request may have run. ggs-relay does the same for all answers on reused connections.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -382,6 +382,9 @@
     request: &EdgeRequest,
     names: &WireHeaders,
 ) -> Result<(ServerConnection, ResponseHead), SendFailure> {
+    // A server that refuses a request without reading it may leave out the id. On a connection that has
+    // carried an earlier request, such a refusal may be that of the earlier one, written once more.
+    let mut may_lack_id = !connection.is_reused();
     for _ in 0..=MAX_LATE_ANSWERS_COUNT {
         let head = connection.read_head().await;
         let head = head.map_err(SendFailure::sent)?;
@@ -389,9 +392,8 @@
         if echoed.is_some() && echoed == request.id(names) {
             return Ok((connection, head));
         }
-        // A server that refuses a request without reading it may leave out the id.
-        let unread_refusal = echoed.is_none() && head.headers.contains_key(&names.not_run);
-        if unread_refusal {
+        let is_refusal = head.headers.contains_key(&names.not_run);
+        if may_lack_id && echoed.is_none() && is_refusal {
             return Ok((connection, head));
         }
         if echoed.is_none() || AnswerFraming::of(&head, &request.method) != AnswerFraming::Bounded {
@@ -399,6 +401,7 @@
         }
         let skipped = connection.skip_body().await;
         connection = skipped.map_err(SendFailure::sent)?;
+        may_lack_id = false;
     }
     Err(SendFailure::sent(FailureKind::BadAnswer))
 }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -194,8 +194,11 @@
         let echoed_id = head.headers.get(HeaderNames::REQUEST_ID);
         let id_matches =
             echoed_id.map(|value| value.as_bytes() == metadata.id.to_string().as_bytes());
+        // A server whose connection is reused has named its attempts before. An answer without the number
+        // may be an earlier one, written once more.
+        let is_foreign = id_matches == Some(false) || (reused && id_matches.is_none());
         let unbounded = !is_bounded(&head, &request.method);
-        if id_matches == Some(false) || unbounded || head.status.is_informational() {
+        if is_foreign || unbounded || head.status.is_informational() {
             return Err(fail(FailureKind::BadAnswer));
         }
         let has_body = self.has_body();
--- a/crates/relay/tests/connection.rs
+++ b/crates/relay/tests/connection.rs
@@ -342,6 +342,26 @@
     }
 }
 
+// An earlier answer that is written once more on a reused connection must not pass for that to the next
+// request.
+#[actix_rt::test]
+async fn answer_without_a_number_on_a_reused_connection_is_a_failure() {
+    let scripted = start_server(&[
+        ScriptedAnswer::Text(concat!(head!("4"), "tare")),
+        ScriptedAnswer::Text(
+            "HTTP/1.1 503 Service Unavailable\r\nggs-refused: 1\r\ncontent-length: 0\r\n\r\n",
+        ),
+    ])
+    .await;
+    let transport = transport();
+    let first = attempt(&transport, scripted.server, false).await;
+    assert_eq!(first.unwrap(), "tare");
+    let second = attempt(&transport, scripted.server, false).await;
+    let second = second.map_err(|failure| failure.kind);
+    assert_eq!(second, Err(FailureKind::BadAnswer));
+    assert_eq!(scripted.accepted.get(), 1);
+}
+
 #[actix_rt::test]
 async fn connection_is_closed_when_its_attempt_times_out() {
     // The answer arrives after the attempt's timeout. If the connection were kept, a later request
