Return to a service of two servers of which one is gone

What callers saw, in a test of odd rows: a gate that had missed both listed servers of a service for a moment refused all requests with 503 from then on, although one of them answered again, for as long as the row of the other one stayed.

Cause: a cut was taken to be over when two servers had succeeded, or all if there are fewer. Of two servers, one of which is gone, two never succeed, and trials went on for ever.

Evidence: crates/reach/tests/server_reach.rs, new case: one of two servers is reached again, and the other has ended: left: Cut, right: Reached.

Change: at most half of the listed servers have to succeed. Of four or more it is two, as before.

--- a/crates/reach/src/run.rs
+++ b/crates/reach/src/run.rs
@@ -17,8 +17,8 @@
 /// Longest time between two failures of one run.
 const MAX_GAP: Duration = Duration::from_secs(3);
 
-/// Servers that must succeed before a cut is taken to be over. A single success may be due to a
-/// server that is reached another way than the rest.
+/// Servers that must succeed before a cut is taken to be over, but at most half of them: the others may
+/// have ended. A single success may be due to a server that is reached another way than the rest.
 const MIN_RESTORED_COUNT: usize = 2;
 
 /// A run of failures, and whether it shows that the path to the servers is cut.
@@ -66,7 +66,7 @@
         self.is_doubtful = false;
         if self.is_cut {
             self.restored.insert(server);
-            self.is_cut = self.restored.len() < MIN_RESTORED_COUNT.min(listed);
+            self.is_cut = self.restored.len() < MIN_RESTORED_COUNT.min(listed.div_ceil(2));
         }
     }
 }
--- a/crates/reach/tests/server_reach.rs
+++ b/crates/reach/tests/server_reach.rs
@@ -120,6 +120,18 @@
         ],
         state: ReachState::Cut,
     },
+    ReachCase {
+        name: "one of two servers is reached again, and the other has ended",
+        listed: 2,
+        events: &[
+            (1, NotOpened, 0),
+            (2, NotOpened, 300),
+            (2, NotOpened, 600),
+            (1, Opened, 600),
+            (1, Answered, 601),
+        ],
+        state: ReachState::Reached,
+    },
     ReachCase {
         name: "the connections to the only server have gone silent",
         listed: 1,
