Count a failed trial once at the gate that asked for it

Found by reading: a gate that passes a trial on learns of its failure by the answer and by the news of the gate that made it. If the news came first, it counted two failures and told all gates, so that the next trial came after ten minutes instead of 30 s.

Evidence: a_failed_trial_counts_once_at_the_gate_that_asked_for_it (new) failed: left: 2, right: 1. Change: a failure counts on top of those known when the trial began. Result: the tests of ggs-quarantine pass.

--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -169,6 +169,8 @@
     trial_at: Moment,
     /// When a trial ends at the latest that is under way at this gate.
     trying_until: Option<Moment>,
+    /// Failed trials when it began.
+    failed_before: u32,
     /// When the entry is forgotten.
     expires_at: Moment,
 }
@@ -181,6 +183,7 @@
             failed_trials: 0,
             trial_at: now,
             trying_until: None,
+            failed_before: 0,
             expires_at: now,
         }
     }
@@ -303,10 +306,11 @@
     pub fn start_trial(&mut self, request: &RequestDigest, until: Moment) {
         if let Some(entry) = self.entries.get_mut(request) {
             entry.trying_until = Some(until);
+            entry.failed_before = entry.failed_trials;
         }
     }
 
-    /// Records how a trial ended.
+    /// Records how the trial that was started last ended.
     pub fn end_trial(
         &mut self,
         request: &RequestDigest,
@@ -326,7 +330,8 @@
                     request: *request,
                     crashes: BTreeMap::new(),
                     answered: false,
-                    failed_trials: entry.failed_trials + 1,
+                    // The gate that was asked may have told of the same failure already.
+                    failed_trials: entry.failed_before + 1,
                 };
                 return self.merge(&record, now);
             }
--- a/crates/quarantine/tests/fleet.rs
+++ b/crates/quarantine/tests/fleet.rs
@@ -137,6 +137,7 @@
     fn send(&mut self, gate: usize, run: ServerRun) {
         let table = &mut self.tables[gate];
         if table.quarantine_left(&REQUEST, self.now).is_some() {
+            table.start_trial(&REQUEST, self.now + RUN_TIME);
             table.end_trial(&REQUEST, TrialEnd::Failed, self.now);
         } else {
             let span = CrashSpan {
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -228,6 +228,20 @@
     assert_eq!(table.quarantine_left(&REQUEST, now), Some(Duration::ZERO));
 }
 
+// A gate that asked another one for the trial learns of its failure twice.
+#[test]
+fn a_failed_trial_counts_once_at_the_gate_that_asked_for_it() {
+    let (mut table, since) = quarantined_table();
+    let now = since + trial_pause(0);
+    table.start_trial(&REQUEST, now + Duration::from_secs(4));
+    let mut told = table.record_of(&REQUEST).unwrap();
+    told.failed_trials = 1;
+    table.merge(&told, now);
+    table.end_trial(&REQUEST, TrialEnd::Failed, now);
+    assert_eq!(table.failed_trials(&REQUEST), 1);
+    assert_eq!(table.quarantine_left(&REQUEST, now), Some(trial_pause(1)));
+}
+
 // The operators allow three sends later than some seconds after the third crash.
 #[test]
 fn a_request_that_ends_its_servers_is_tried_seldom() {
@@ -237,6 +251,7 @@
         let now = since + Duration::from_secs(second);
         if table.quarantine_left(&REQUEST, now) == Some(Duration::ZERO) {
             trials_s.push(second);
+            table.start_trial(&REQUEST, now);
             table.end_trial(&REQUEST, TrialEnd::Failed, now);
         }
     }
