Count servers that end within 20 ms once, and try a quarantined request after one second

Cause: callers' requests are retried at once. A retry that reached a server which ended a few milliseconds later had been sent after the first crash, so it counted as another accident. The log shows 19 crashes within 18 ms, of which a gate counted two by itself.

Change: servers that end within 20 ms of one another count once, as do those of overlapping sends. A request that ends its servers runs for longer before it does. The first trial comes after 1 s instead of 2, so that what is quarantined at the end of a longer accident is served within two seconds of it.

--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -23,12 +23,15 @@
 /// the last holds for all later ones. The first is short, as most quarantines after accidents are
 /// wrong; the others keep the sends of a request that does end its servers within the users' bound.
 const TRIAL_PAUSES: [Duration; 4] = [
-    Duration::from_secs(2),
+    Duration::from_secs(1),
     Duration::from_secs(30),
     Duration::from_mins(10),
     Duration::from_hours(1),
 ];
 
+/// Longest time between the ends of servers that are taken for one accident.
+const ACCIDENT_TIME: Duration = Duration::from_millis(20);
+
 /// Time until the next trial after one that did not reach a server, and longest time that is stated
 /// while a trial is under way.
 pub const TRIAL_RETRY_PAUSE: Duration = Duration::from_millis(250);
@@ -46,8 +49,8 @@
 }
 
 impl CrashSpan {
-    /// Whether there is a moment at which both servers had the request. One accident may have ended
-    /// both then, so they count as one crash.
+    /// Whether one accident may have ended both servers, so that they count as one crash: there is a
+    /// moment at which both had the request, or they ended at nearly the same time.
     ///
     /// ```
     /// use ggs_model::Moment;
@@ -57,12 +60,19 @@
     ///     sent_at: Moment::from_millis(sent_ms),
     ///     lost_at: Moment::from_millis(lost_ms),
     /// };
-    /// assert!(span(0, 100).overlaps(&span(60, 101)));
-    /// // The second was sent after the first had ended its server.
-    /// assert!(!span(0, 100).overlaps(&span(100, 180)));
+    /// assert!(span(0, 100).may_share_cause(&span(60, 101)));
+    /// // A retry that met the end of another server of a service that goes down.
+    /// assert!(span(0, 100).may_share_cause(&span(102, 110)));
+    /// // The second was sent after the first had ended its server, and ran for some time.
+    /// assert!(!span(0, 100).may_share_cause(&span(100, 180)));
     /// ```
-    pub fn overlaps(&self, other: &Self) -> bool {
-        self.sent_at.max(other.sent_at) < self.lost_at.min(other.lost_at)
+    pub fn may_share_cause(&self, other: &Self) -> bool {
+        let overlap = self.sent_at.max(other.sent_at) < self.lost_at.min(other.lost_at);
+        let (first, last) = (
+            self.lost_at.min(other.lost_at),
+            self.lost_at.max(other.lost_at),
+        );
+        overlap || last.since(first) <= ACCIDENT_TIME
     }
 }
 
@@ -123,7 +133,7 @@
 /// use std::time::Duration;
 ///
 /// let pauses: Vec<_> = (0..5).map(ggs_quarantine::trial_pause).collect();
-/// assert_eq!(pauses[0], Duration::from_secs(2));
+/// assert_eq!(pauses[0], Duration::from_secs(1));
 /// assert!(pauses.is_sorted());
 /// assert_eq!(pauses[4], pauses[3]);
 /// ```
@@ -194,9 +204,12 @@
     }
 
     /// Whether a crash may have the same cause as one that is counted already.
-    fn has_overlap(&self, span: Option<&CrashSpan>) -> bool {
+    fn is_counted(&self, span: Option<&CrashSpan>) -> bool {
         let spans = self.crashes.values().flatten();
-        span.is_some_and(|span| spans.into_iter().any(|counted| counted.overlaps(span)))
+        span.is_some_and(|span| {
+            let mut spans = spans.into_iter();
+            spans.any(|counted| counted.may_share_cause(span))
+        })
     }
 
     /// Adds what another gate knows; returns whether anything is new.
@@ -206,8 +219,8 @@
         // The crashes of a quarantine are known to be independent.
         let are_independent = record.is_for_all_gates();
         for (run, span) in &record.crashes {
-            let is_counted = self.crashes.len() >= CRASH_LIMIT || self.crashes.contains_key(run);
-            if !is_counted && (are_independent || !self.has_overlap(span.as_ref())) {
+            let is_known = self.crashes.len() >= CRASH_LIMIT || self.crashes.contains_key(run);
+            if !is_known && (are_independent || !self.is_counted(span.as_ref())) {
                 self.crashes.insert(*run, *span);
                 is_new = true;
             }
