--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -6,9 +6,9 @@
 //! all gates, and quarantines the request when [`CRASH_LIMIT`] of them are independent, unless a server
 //! has answered it.
 //!
-//! Crashes are independent if the sends did not overlap. One accident may end many servers at once, and
-//! with them all sends of a page that many callers read. A request that ends its servers does so again
-//! after it was sent anew.
+//! Crashes are independent if the sends did not overlap and the servers did not end within milliseconds of
+//! each other. One accident may end many servers at once, and with them all sends of a page that many
+//! callers read. A request that ends its servers does so again after it was sent anew.
 //!
 //! A quarantine may still be wrong, and as nothing is sent in it, no answer could end it. So the
 //! request is tried again, at one server, after times that grow with each failed trial. A good answer
