--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -104,7 +104,9 @@
         taken.get_or_create(&StatusLabels { status: 200 }).inc_by(0);
         let help = "Requests of other gates by the status of the answer";
         registry.register("detours_taken", help, taken.clone());
-        let trials = Family::default();
+        let trials: Family<OutcomeLabels, Counter> = Family::default();
+        let labels = OutcomeLabels { outcome: "failed" };
+        trials.get_or_create(&labels).inc_by(0);
         let help = "Trials of requests in quarantine by how they ended";
         registry.register("quarantine_trials", help, trials.clone());
         let probes = Counter::default();
