Keep the record of a request in its entry of the crash table

Found on reading the change once more: CrashEntry repeated the fields of CrashRecord, record_of copied them one by one, and the time for which a request is remembered stood beside the record. The guard of a trial asked which identities are in quarantine before it ended them, which the table knows itself. relay asked four times whether there is a trial.

An entry holds a record now, end_trial changes nothing outside a quarantine, and relay asks in one place.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -182,10 +182,12 @@
         TrialStart::Ended(end) => return end,
         TrialStart::Held(left) => return hold_request(&service, request, state, left, span),
     };
+    let quarantine_left = || match trial {
+        Some(_) => None,
+        None => core.quarantine_left(request),
+    };
     loop {
-        if trial.is_none()
-            && let Some(left) = core.quarantine_left(request)
-        {
+        if let Some(left) = quarantine_left() {
             return hold_request(&service, request, state, left, span);
         }
         let reach = core.reach_state(&service);
@@ -215,9 +217,7 @@
             }
         };
         // It may have been quarantined while it was placed.
-        if trial.is_none()
-            && let Some(left) = core.quarantine_left(request)
-        {
+        if let Some(left) = quarantine_left() {
             return hold_request(&service, request, state, left, span);
         }
         if trial.is_none()
--- a/crates/edge/src/trial.rs
+++ b/crates/edge/src/trial.rs
@@ -12,7 +12,9 @@
 
 use ggs_model::Clock;
 use ggs_observe::LogEvent;
-use ggs_quarantine::{RequestDigest, TRIAL_RETRY_PAUSE, TrialEnd, choose_trackers, trial_pause};
+use ggs_quarantine::{
+    IDENTITY_COUNT, RequestDigest, TRIAL_RETRY_PAUSE, TrialEnd, choose_trackers, trial_pause,
+};
 use ggs_reach::ReachState;
 
 use crate::core::EdgeCore;
@@ -44,7 +46,7 @@
 pub(crate) struct TrialGuard<W, S> {
     core: Rc<EdgeCore<W, S>>,
     /// The identities of the request, the broadest first.
-    digests: Vec<RequestDigest>,
+    digests: [RequestDigest; IDENTITY_COUNT],
     end: Cell<TrialEnd>,
 }
 
@@ -57,7 +59,7 @@
         }
         Self {
             core: Rc::clone(core),
-            digests: request.digests().to_vec(),
+            digests: *request.digests(),
             end: Cell::new(TrialEnd::Unsent),
         }
     }
@@ -73,19 +75,12 @@
         let core = &self.core;
         let (end, now) = (self.end.get(), core.clock.now());
         core.metrics.count_trial(end.into());
-        let changes: Vec<_> = {
+        let changes = self.digests.map(|digest| {
             let mut crashes = core.crashes.borrow_mut();
-            let digests = self.digests.iter();
-            // Only the identities in quarantine have been tried.
-            let tried: Vec<_> = digests
-                .filter(|digest| crashes.quarantine_left(digest, now).is_some())
-                .collect();
-            let ends = tried.into_iter();
-            ends.map(|digest| (*digest, crashes.end_trial(digest, end, now)))
-                .collect()
-        };
+            (digest, crashes.end_trial(&digest, end, now))
+        });
         if end == TrialEnd::Failed {
-            for (digest, _) in &changes {
+            for digest in &self.digests {
                 core.log_failed_trial(digest);
             }
         }
@@ -114,14 +109,16 @@
         trial_pause(failed.unwrap_or(0)).mul_f64(RETURN_SPREAD.end)
     }
 
-    /// Logs a failed trial.
+    /// Logs a failed trial, if the identity is in quarantine.
     fn log_failed_trial(&self, digest: &RequestDigest) {
         let crashes = self.crashes.borrow();
-        let left = crashes.quarantine_left(digest, self.clock.now());
+        let Some(left) = crashes.quarantine_left(digest, self.clock.now()) else {
+            return;
+        };
         let pairs = slog::o!(
             "request_digest" => digest.to_string(),
             "failed_trials" => crashes.failed_trials(digest),
-            "next_trial_ms" => left.map(|left| left.as_millis() as u64),
+            "next_trial_ms" => left.as_millis() as u64,
         );
         let message = "request in quarantine was tried, and brought no good answer";
         self.log.emit(LogEvent::TrialFailed, message, pairs);
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -112,18 +112,54 @@
 
     /// Time for which the record is remembered after its last change.
     pub fn memory_time(&self) -> Duration {
-        memory_time(self.crashes.len(), self.answered, self.failed_trials)
+        if self.answered {
+            QUARANTINE_TIME
+        } else if self.is_quarantined() {
+            trial_pause(self.failed_trials) + QUARANTINE_TIME
+        } else {
+            SUSPICION_TIME
+        }
+    }
+
+    /// What is known of a request before anything is.
+    const fn unknown(request: RequestDigest) -> Self {
+        Self {
+            request,
+            crashes: BTreeMap::new(),
+            answered: false,
+            failed_trials: 0,
+        }
+    }
+
+    /// Whether the request must not be sent, but for trials.
+    fn is_quarantined(&self) -> bool {
+        self.crashes.len() >= CRASH_LIMIT && !self.answered
     }
-}
 
-/// Time for which what is known of a request is remembered after its last change.
-fn memory_time(crash_count: usize, answered: bool, failed_trials: u32) -> Duration {
-    if answered {
-        QUARANTINE_TIME
-    } else if crash_count >= CRASH_LIMIT {
-        trial_pause(failed_trials) + QUARANTINE_TIME
-    } else {
-        SUSPICION_TIME
+    /// Whether a crash may have the same cause as one that is counted already.
+    fn is_counted(&self, span: Option<&CrashSpan>) -> bool {
+        let mut spans = self.crashes.values().flatten();
+        span.is_some_and(|span| spans.any(|counted| counted.may_share_cause(span)))
+    }
+
+    /// Adds what another gate knows; returns whether anything is new.
+    fn merge(&mut self, other: &Self) -> bool {
+        let mut is_new = other.answered && !self.answered;
+        self.answered |= other.answered;
+        // The crashes of a quarantine are known to be independent.
+        let are_independent = other.is_for_all_gates();
+        for (run, span) in &other.crashes {
+            let is_known = self.crashes.len() >= CRASH_LIMIT || self.crashes.contains_key(run);
+            if !is_known && (are_independent || !self.is_counted(span.as_ref())) {
+                self.crashes.insert(*run, *span);
+                is_new = true;
+            }
+        }
+        if other.failed_trials > self.failed_trials {
+            self.failed_trials = other.failed_trials;
+            is_new = true;
+        }
+        is_new
     }
 }
 
@@ -172,9 +208,7 @@
 /// An entry of the table.
 #[derive(Clone, Debug)]
 struct CrashEntry {
-    crashes: BTreeMap<ServerRun, Option<CrashSpan>>,
-    answered: bool,
-    failed_trials: u32,
+    record: CrashRecord,
     /// When a request in quarantine may be tried.
     trial_at: Moment,
     /// When a trial ends at the latest that is under way at this gate.
@@ -186,11 +220,9 @@
 }
 
 impl CrashEntry {
-    const fn new(now: Moment) -> Self {
+    const fn new(request: RequestDigest, now: Moment) -> Self {
         Self {
-            crashes: BTreeMap::new(),
-            answered: false,
-            failed_trials: 0,
+            record: CrashRecord::unknown(request),
             trial_at: now,
             trying_until: None,
             failed_before: 0,
@@ -198,38 +230,9 @@
         }
     }
 
-    /// Whether the request must not be sent, but for trials.
-    fn is_quarantined(&self) -> bool {
-        self.crashes.len() >= CRASH_LIMIT && !self.answered
-    }
-
-    /// Whether a crash may have the same cause as one that is counted already.
-    fn is_counted(&self, span: Option<&CrashSpan>) -> bool {
-        let spans = self.crashes.values().flatten();
-        span.is_some_and(|span| {
-            let mut spans = spans.into_iter();
-            spans.any(|counted| counted.may_share_cause(span))
-        })
-    }
-
-    /// Adds what another gate knows; returns whether anything is new.
-    fn merge(&mut self, record: &CrashRecord) -> bool {
-        let mut is_new = record.answered && !self.answered;
-        self.answered |= record.answered;
-        // The crashes of a quarantine are known to be independent.
-        let are_independent = record.is_for_all_gates();
-        for (run, span) in &record.crashes {
-            let is_known = self.crashes.len() >= CRASH_LIMIT || self.crashes.contains_key(run);
-            if !is_known && (are_independent || !self.is_counted(span.as_ref())) {
-                self.crashes.insert(*run, *span);
-                is_new = true;
-            }
-        }
-        if record.failed_trials > self.failed_trials {
-            self.failed_trials = record.failed_trials;
-            is_new = true;
-        }
-        is_new
+    /// Whether the request must not be sent at `now`, but for trials.
+    fn is_quarantined(&self, now: Moment) -> bool {
+        self.record.is_quarantined() && self.expires_at > now
     }
 }
 
@@ -268,10 +271,8 @@
     ) -> CrashChange {
         self.merge(
             &CrashRecord {
-                request,
                 crashes: BTreeMap::from([(run, Some(span))]),
-                answered: false,
-                failed_trials: 0,
+                ..CrashRecord::unknown(request)
             },
             now,
         )
@@ -284,10 +285,8 @@
         }
         self.merge(
             &CrashRecord {
-                request,
-                crashes: BTreeMap::new(),
                 answered: true,
-                failed_trials: 0,
+                ..CrashRecord::unknown(request)
             },
             now,
         )
@@ -297,15 +296,14 @@
     pub fn merge(&mut self, record: &CrashRecord, now: Moment) -> CrashChange {
         self.entries.retain(|_, entry| entry.expires_at > now);
         let entry = self.entries.entry(record.request);
-        let entry = entry.or_insert_with(|| CrashEntry::new(now));
-        let was_quarantined = entry.is_quarantined();
-        if !entry.merge(record) {
+        let entry = entry.or_insert_with(|| CrashEntry::new(record.request, now));
+        let was_quarantined = entry.record.is_quarantined();
+        if !entry.record.merge(record) {
             return CrashChange::Unchanged;
         }
-        let time = memory_time(entry.crashes.len(), entry.answered, entry.failed_trials);
-        entry.expires_at = now + time;
-        entry.trial_at = now + trial_pause(entry.failed_trials);
-        let change = match (was_quarantined, entry.is_quarantined()) {
+        entry.expires_at = now + entry.record.memory_time();
+        entry.trial_at = now + trial_pause(entry.record.failed_trials);
+        let change = match (was_quarantined, entry.record.is_quarantined()) {
             (false, true) => CrashChange::Quarantined,
             (true, false) => CrashChange::Released,
             _ => CrashChange::Changed,
@@ -319,18 +317,21 @@
     pub fn start_trial(&mut self, request: &RequestDigest, until: Moment) {
         if let Some(entry) = self.entries.get_mut(request) {
             entry.trying_until = Some(until);
-            entry.failed_before = entry.failed_trials;
+            entry.failed_before = entry.record.failed_trials;
         }
     }
 
-    /// Records how the trial that was started last ended.
+    /// Records how the trial that was started last ended. Changes nothing if the request is not in
+    /// quarantine.
     pub fn end_trial(
         &mut self,
         request: &RequestDigest,
         end: TrialEnd,
         now: Moment,
     ) -> CrashChange {
-        let Some(entry) = self.entries.get_mut(request) else {
+        let entry = self.entries.get_mut(request);
+        let entry = entry.filter(|entry| entry.is_quarantined(now));
+        let Some(entry) = entry else {
             return CrashChange::Unchanged;
         };
         entry.trying_until = None;
@@ -340,11 +341,9 @@
             TrialEnd::NotDue(time) => time,
             TrialEnd::Failed => {
                 let record = CrashRecord {
-                    request: *request,
-                    crashes: BTreeMap::new(),
-                    answered: false,
                     // The gate that was asked may have told of the same failure already.
                     failed_trials: entry.failed_before + 1,
+                    ..CrashRecord::unknown(*request)
                 };
                 return self.merge(&record, now);
             }
@@ -356,7 +355,7 @@
     /// Trials of a request that have failed.
     pub fn failed_trials(&self, request: &RequestDigest) -> u32 {
         let entry = self.entries.get(request);
-        entry.map_or(0, |entry| entry.failed_trials)
+        entry.map_or(0, |entry| entry.record.failed_trials)
     }
 
     /// Whether no request is known.
@@ -367,20 +366,16 @@
     /// Independent crashes under a request that no server has answered.
     pub fn crash_count(&self, request: &RequestDigest) -> usize {
         let entry = self.entries.get(request);
-        entry.map_or(0, |entry| {
-            if entry.answered {
-                0
-            } else {
-                entry.crashes.len()
-            }
-        })
+        let record = entry.map(|entry| &entry.record);
+        let suspected = record.filter(|record| !record.answered);
+        suspected.map_or(0, |record| record.crashes.len())
     }
 
     /// Time left until a request in quarantine may be tried, zero if a trial is due; `None` if it is
     /// not in quarantine.
     pub fn quarantine_left(&self, request: &RequestDigest, now: Moment) -> Option<Duration> {
         let entry = self.entries.get(request)?;
-        if !entry.is_quarantined() || entry.expires_at <= now {
+        if !entry.is_quarantined(now) {
             return None;
         }
         let trying_until = entry.trying_until.filter(|until| *until > now);
@@ -393,19 +388,13 @@
     /// What is known of a request; `None` if it is not known.
     pub fn record_of(&self, request: &RequestDigest) -> Option<CrashRecord> {
         let entry = self.entries.get(request)?;
-        Some(CrashRecord {
-            request: *request,
-            crashes: entry.crashes.clone(),
-            answered: entry.answered,
-            failed_trials: entry.failed_trials,
-        })
+        Some(entry.record.clone())
     }
 
     /// The requests in quarantine at `now`.
     pub fn quarantined(&self, now: Moment) -> impl Iterator<Item = &RequestDigest> {
         let entries = self.entries.iter();
-        let quarantined =
-            entries.filter(move |(_, entry)| entry.is_quarantined() && entry.expires_at > now);
+        let quarantined = entries.filter(move |(_, entry)| entry.is_quarantined(now));
         quarantined.map(|(request, _)| request)
     }
 
