End the quarantine of all identities of a request that a trial shows to be harmless

Callers saw: after a trial had brought a good answer, some gates still refused the same request for up to another second, or until its next trial.

Cause: a request has four identities, and a heartbeat carries two records. A gate recorded an answer for those identities only that it knew. Another gate went on holding the one that was left, and told it to the others anew. Its row in the store would have brought it back after a restart.

Ruled out: lost news (each gate logs the release) and a gate that the answering one does not know.

Change: an answer to a request that is in quarantine by any identity counts for all of them, is told to all gates, and is written to the rows.

Test: an_answer_ends_the_quarantine_of_identities_that_the_gate_does_not_know gives one identity to two gates only. Before: 503 at a gate that knows it.

--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -220,9 +220,16 @@
             return;
         }
         let now = self.clock.now();
+        // Heartbeats carry a few records each, so gates may know different identities of the request.
+        let ends_quarantine = self.quarantine_left(request).is_some();
         let changes = request.digests().map(|digest| {
             let mut crashes = self.crashes.borrow_mut();
-            (digest, crashes.record_answer(digest, now))
+            let change = if ends_quarantine {
+                crashes.record_release(digest, now)
+            } else {
+                crashes.record_answer(digest, now)
+            };
+            (digest, change)
         });
         for (digest, change) in &changes {
             self.log_change(digest, *change, "answer");
@@ -247,13 +254,19 @@
         if records.is_empty() {
             return;
         }
-        let mut audience = NewsAudience::Trackers;
-        for record in &records {
-            if record.is_for_all_gates() {
-                self.unsaved_quarantine.add(record.request);
-                audience = NewsAudience::Fleet;
-            }
+        let is_for_fleet = records.iter().any(CrashRecord::is_for_all_gates);
+        // An answer that ends a quarantine may also end that of identities which only the store knows.
+        let saved = records
+            .iter()
+            .filter(|record| record.is_for_all_gates() || (is_for_fleet && record.answered));
+        for record in saved {
+            self.unsaved_quarantine.add(record.request);
         }
+        let audience = if is_for_fleet {
+            NewsAudience::Fleet
+        } else {
+            NewsAudience::Trackers
+        };
         self.crash_news.add(NewsItem {
             request,
             records,
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -283,6 +283,12 @@
         if !self.entries.contains_key(&request) {
             return CrashChange::Unchanged;
         }
+        self.record_release(request, now)
+    }
+
+    /// Records the same for an identity that this gate may not know, as other gates may have it in
+    /// quarantine.
+    pub fn record_release(&mut self, request: RequestDigest, now: Moment) -> CrashChange {
         self.merge(
             &CrashRecord {
                 answered: true,
