List requests in quarantine at a gate, and let operators release them

The address of the metrics lists what a gate has in quarantine (GET /quarantine) and releases one identity or all (DELETE). A release counts like a good answer: it is told to all gates and written to the row. It is logged as line 408 with the source 'operator'.

Test: an_operator_lists_requests_in_quarantine_and_releases_them_at_all_gates. Before: the list is not there (404, empty body). After: passes.

--- a/crates/edge/src/crashes.rs
+++ b/crates/edge/src/crashes.rs
@@ -237,6 +237,27 @@
         self.publish_changes(request.digests()[0], &changes);
     }
 
+    /// The requests in quarantine.
+    pub(crate) fn quarantined(&self) -> Vec<RequestDigest> {
+        let crashes = self.crashes.borrow();
+        let quarantined = crashes.quarantined(self.clock.now());
+        quarantined.copied().collect()
+    }
+
+    /// Ends the quarantine of a request at all gates, as an operator asks; returns whether it was in
+    /// quarantine here.
+    pub(crate) fn release_request(&self, request: RequestDigest) -> bool {
+        let now = self.clock.now();
+        let is_quarantined = self.crashes.borrow().quarantine_left(&request, now);
+        if is_quarantined.is_none() {
+            return false;
+        }
+        let change = self.crashes.borrow_mut().record_release(request, now);
+        self.log_change(&request, change, "operator");
+        self.publish_changes(request, &[(request, change)]);
+        true
+    }
+
     /// Queues what has changed for the gates that need it, and for the store. `request` is the
     /// broadest of the identities.
     pub(crate) fn publish_changes(
@@ -313,7 +334,7 @@
             ),
             CrashChange::Released => (
                 LogEvent::RequestReleased,
-                "request is no longer quarantined, as a server answered it",
+                "request is no longer quarantined, as a server answered it or an operator released it",
             ),
             CrashChange::Unchanged | CrashChange::Changed => return,
         };
--- a/crates/edge/src/handle.rs
+++ b/crates/edge/src/handle.rs
@@ -16,10 +16,9 @@
 use crate::crashes::share_crashes;
 use crate::drain::{DrainListeners, drain};
 use crate::gates;
-use crate::listen::{
-    answer_entries, answer_metrics, answer_ready, serve_callers, serve_gates, serve_immediate,
-};
+use crate::listen::{answer_entries, answer_ready, serve_callers, serve_gates, serve_immediate};
 use crate::load_updates;
+use crate::operator::answer_operator;
 use crate::ports::{EdgeWire, FleetStore, SettingsSource};
 use crate::quarantine::follow_quarantine;
 use crate::reach::try_servers;
@@ -123,7 +122,7 @@
         clone(&core),
         metrics,
         finished,
-        answer_metrics,
+        answer_operator,
     ));
     actix_rt::spawn(load_updates::send_load_updates(
         clone(&core),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -31,6 +31,7 @@
 mod listen;
 mod load_updates;
 mod metrics;
+mod operator;
 mod parts;
 mod pending;
 mod placement;
--- a/crates/edge/src/listen.rs
+++ b/crates/edge/src/listen.rs
@@ -1,4 +1,4 @@
-//! The HTTP listeners of a gate: requests of callers, readiness, entry queries, metrics, and queries
+//! The HTTP listeners of a gate: requests of callers, readiness, entry queries, queries of operators and
 //! of other gates.
 //!
 //! All of them run the same accept loop. Requests of callers take the path through [`serve`]; the
@@ -35,8 +35,6 @@
 /// does not apply.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
-const METRICS_PATH: &str = "/metrics";
-
 /// Timeouts and limits of all listeners of a gate.
 fn listen_options() -> ListenOptions {
     ListenOptions {
@@ -110,15 +108,6 @@
     Response::with_body(status, EdgeBody::whole(Bytes::new()))
 }
 
-/// Answers with the metrics as text.
-pub(crate) fn answer_metrics<W, S>(core: &EdgeCore<W, S>, request: &Request) -> Response<EdgeBody> {
-    let text = match request.path() {
-        METRICS_PATH => core.metrics.render().ok(),
-        _ => None,
-    };
-    body_or_status(StatusCode::NOT_FOUND, text.map(Bytes::from))
-}
-
 /// Answers other gates: their queries at once, and the requests that they send on by sending them to
 /// servers.
 struct GateHandler<W, S> {
@@ -175,7 +164,7 @@
 }
 
 /// A 200 answer with these bytes, or an empty one with `status` if there are none.
-fn body_or_status(status: StatusCode, bytes: Option<Bytes>) -> Response<EdgeBody> {
+pub(crate) fn body_or_status(status: StatusCode, bytes: Option<Bytes>) -> Response<EdgeBody> {
     let status = if bytes.is_some() {
         StatusCode::OK
     } else {
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -102,7 +102,8 @@
     BodyNotRead = 406,
     /// Servers ended each time they ran a request, which gets no more servers.
     RequestQuarantined = 407,
-    /// A server answered a request in quarantine, which is sent again from now on.
+    /// A server answered a request in quarantine, or an operator released it; it is sent again from now
+    /// on.
     RequestReleased = 408,
     /// A request in quarantine was tried at a server, which brought no good answer.
     TrialFailed = 409,
--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -1,7 +1,10 @@
 //! Digests that identify requests and server runs at all gates of a fleet.
 
+use std::error::Error;
 use std::fmt;
 use std::net::IpAddr;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use sha2::{Digest, Sha256};
 
@@ -16,6 +19,53 @@
     }
 }
 
+/// Length of a digest as text.
+const DIGEST_TEXT_LENGTH: usize = 32;
+
+/// Why a text is no digest of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DigestError {
+    /// It has another number of bytes.
+    Length(usize),
+    /// It is not a hexadecimal number.
+    Digits(ParseIntError),
+}
+
+impl fmt::Display for DigestError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Length(found) => write!(
+                formatter,
+                "digest: {found} bytes, expected {DIGEST_TEXT_LENGTH} hexadecimal digits"
+            ),
+            Self::Digits(error) => write!(formatter, "digest: {error}"),
+        }
+    }
+}
+
+impl Error for DigestError {}
+
+/// Reads what [`Display`](fmt::Display) writes.
+///
+/// ```
+/// use ggs_quarantine::RequestDigest;
+///
+/// let digest = RequestDigest([7; 16]);
+/// assert_eq!(digest.to_string().parse(), Ok(digest));
+/// assert!("7".parse::<RequestDigest>().is_err());
+/// ```
+impl FromStr for RequestDigest {
+    type Err = DigestError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        if text.len() != DIGEST_TEXT_LENGTH {
+            return Err(DigestError::Length(text.len()));
+        }
+        let number = u128::from_str_radix(text, 16).map_err(DigestError::Digits)?;
+        Ok(Self(number.to_be_bytes()))
+    }
+}
+
 /// Number of identities that a request has.
 pub const IDENTITY_COUNT: usize = 4;
 
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -26,7 +26,7 @@
 mod table;
 mod trackers;
 
-pub use digest::{IDENTITY_COUNT, RequestDigest, RequestIdentity, ServerRun};
+pub use digest::{DigestError, IDENTITY_COUNT, RequestDigest, RequestIdentity, ServerRun};
 pub use table::{
     CRASH_LIMIT, CrashChange, CrashRecord, CrashSpan, CrashTable, TRIAL_RETRY_PAUSE, TrialEnd,
     trial_pause,
