Find expired requests of the crash table by an index

A crash that takes a hundred requests with it records four identities for each of them, so that a gate at the limit spent some 60 ms on it.

The table now orders its requests by when they are forgotten.

A record that says nothing must not stay for ever: a_record_that_says_nothing_is_forgotten. It passes before the change too; it is there for the index.

--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,6 +1,6 @@
 //! The table of suspected and quarantined requests.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use foldhash::HashMap;
@@ -258,6 +258,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct CrashTable {
     entries: HashMap<RequestDigest, CrashEntry>,
+    /// The requests of all entries, ordered by when they are forgotten.
+    by_expiry: BTreeSet<(Moment, RequestDigest)>,
 }
 
 impl CrashTable {
@@ -300,14 +302,21 @@
 
     /// Adds what another gate knows.
     pub fn merge(&mut self, record: &CrashRecord, now: Moment) -> CrashChange {
-        self.entries.retain(|_, entry| entry.expires_at > now);
-        let entry = self.entries.entry(record.request);
-        let entry = entry.or_insert_with(|| CrashEntry::new(record.request, now));
+        self.drop_expired(now);
+        let request = record.request;
+        let entry = self.entries.entry(request);
+        let entry = entry.or_insert_with(|| {
+            // A record that says nothing leaves it like this.
+            self.by_expiry.insert((now, request));
+            CrashEntry::new(request, now)
+        });
         let was_quarantined = entry.record.is_quarantined();
         if !entry.record.merge(record) {
             return CrashChange::Unchanged;
         }
+        self.by_expiry.remove(&(entry.expires_at, request));
         entry.expires_at = now + entry.record.memory_time();
+        self.by_expiry.insert((entry.expires_at, request));
         entry.trial_at = now + trial_pause(entry.record.failed_trials);
         let change = match (was_quarantined, entry.record.is_quarantined()) {
             (false, true) => CrashChange::Quarantined,
@@ -404,15 +413,26 @@
         quarantined.map(|(request, _)| request)
     }
 
+    /// Forgets the entries whose time is over.
+    fn drop_expired(&mut self, now: Moment) {
+        while let Some((expires_at, _)) = self.by_expiry.first()
+            && *expires_at <= now
+        {
+            self.drop_first();
+        }
+    }
+
     /// Forgets the entries whose time ends first if there are too many.
     fn drop_excess(&mut self) {
-        while self.entries.len() > MAX_ENTRY_COUNT {
-            let entries = self.entries.iter();
-            let first = entries.min_by_key(|(request, entry)| (entry.expires_at, **request));
-            let Some(first) = first.map(|(request, _)| *request) else {
-                return;
-            };
-            self.entries.remove(&first);
+        while self.by_expiry.len() > MAX_ENTRY_COUNT {
+            self.drop_first();
+        }
+    }
+
+    /// Forgets the entry whose time ends first.
+    fn drop_first(&mut self) {
+        if let Some((_, request)) = self.by_expiry.pop_first() {
+            self.entries.remove(&request);
         }
     }
 }
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -1,11 +1,12 @@
 //! When requests are quarantined, and that gates agree whatever the order of their messages.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use ggs_model::Moment;
 use ggs_quarantine::{
-    CRASH_LIMIT, CrashChange, CrashSpan, CrashTable, RequestDigest, ServerRun, TRIAL_RETRY_PAUSE,
-    TrialEnd, trial_pause,
+    CRASH_LIMIT, CrashChange, CrashRecord, CrashSpan, CrashTable, RequestDigest, ServerRun,
+    TRIAL_RETRY_PAUSE, TrialEnd, trial_pause,
 };
 use proptest::prelude::*;
 
@@ -107,6 +108,32 @@
     }
 }
 
+// Guards against entries that nothing ever removes.
+#[test]
+fn a_record_that_says_nothing_is_forgotten() {
+    let mut table = CrashTable::default();
+    let empty = CrashRecord {
+        request: REQUEST,
+        crashes: BTreeMap::new(),
+        answered: false,
+        failed_trials: 0,
+    };
+    assert_eq!(table.merge(&empty, Moment::ZERO), CrashChange::Unchanged);
+    let other = RequestDigest([2; 16]);
+    table.record_crash(other, ServerRun(1), span_of(1), Moment::ZERO);
+    assert_eq!(table.record_of(&REQUEST), None);
+    // The newest of its changes decides how long a request is known.
+    let later = Moment::ZERO + Duration::from_secs(100);
+    table.record_crash(other, ServerRun(2), span_of(2), later);
+    let last = later + Duration::from_secs(100);
+    table.merge(&empty, last);
+    assert_eq!(table.crash_count(&other), 2);
+    table.merge(&empty, last + Duration::from_secs(30));
+    assert_eq!(table.record_of(&other), None);
+    table.merge(&empty, last + Duration::from_secs(31));
+    assert_eq!(table.crash_count(&other), 0);
+}
+
 #[test]
 fn the_table_keeps_to_a_bounded_number_of_requests() {
     let mut table = CrashTable::default();
