Let stand-in servers end, and requests end them

Both are switched over PUT /admin/faults of each server, as the other faults are.

Tests: a_server_that_goes_down_ends_its_work_and_starts_again_as_another_incarnation and a_request_ends_its_server_each_time_it_runs.

--- a/crates/standin/src/args.rs
+++ b/crates/standin/src/args.rs
@@ -42,7 +42,7 @@
     PUT /admin/faults takes a JSON object and sets all faults at once; {} ends all.
     platform: slow_ms, down (up, unavailable, refused), lose_answers, freeze, silence_connections
     server:   slow_factor, freeze, silence_connections, fail_fast, cut_after, lose_answers, report,
-              report_lag_ms, health_status
+              report_lag_ms, health_status, down, crash_path, restart_ms
     POST /admin/drain drains a server. GET /admin/runs[?by=key] and GET /admin/probes show counts.
 
 EXIT CODES
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -5,6 +5,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// Time until a server starts again that a request has ended, in milliseconds.
+const DEFAULT_RESTART_MS: u64 = 500;
+
 /// How a platform that is down meets calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -65,6 +68,13 @@
     pub report_lag_ms: u64,
     /// Status of `GET /health` in place of the true one.
     pub health_status: Option<u16>,
+    /// Ends the server: connections are refused and open ones closed, and the admin port stays open.
+    /// When this is switched off, the server starts again, as a new incarnation.
+    pub down: bool,
+    /// Requests whose paths begin with this end the server when they begin to run.
+    pub crash_path: Option<String>,
+    /// Time until the server starts again after such a request, in milliseconds.
+    pub restart_ms: u64,
 }
 
 impl Default for ServerFaults {
@@ -79,6 +89,9 @@
             report: None,
             report_lag_ms: 0,
             health_status: None,
+            down: false,
+            crash_path: None,
+            restart_ms: DEFAULT_RESTART_MS,
         }
     }
 }
--- a/crates/standin/src/listener.rs
+++ b/crates/standin/src/listener.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Whether the port is closed.
+    pub(crate) fn is_refusing(&self) -> bool {
+        self.refusing.get()
+    }
+
     /// Silences all open connections but one.
     pub(crate) fn silence(&self, except: Option<&Rc<ConnectionControl>>) {
         for connection in self.open.borrow().iter() {
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -78,9 +78,9 @@
 #[derive(Debug)]
 pub(crate) struct ServerShared {
     pub(crate) options: ServerOptions,
-    pub(crate) incarnation: Incarnation,
-    pub(crate) started: Moment,
-    pub(crate) name: RefCell<String>,
+    pub(crate) incarnation: Cell<Incarnation>,
+    pub(crate) started: Cell<Moment>,
+    pub(crate) address: Cell<SocketAddr>,
     pub(crate) listener: Rc<ListenerControl>,
     pub(crate) faults: RefCell<ServerFaults>,
     pub(crate) queue: SlotQueue,
@@ -92,16 +92,79 @@
 
 impl ServerShared {
     /// Sets all faults; `except` is the connection that carried the change.
-    pub(crate) fn set_faults(&self, faults: ServerFaults, except: Option<&Rc<ConnectionControl>>) {
+    pub(crate) fn set_faults(
+        self: &Rc<Self>,
+        faults: ServerFaults,
+        except: Option<&Rc<ConnectionControl>>,
+    ) {
         if faults.silence_connections {
             self.listener.silence(except);
         }
-        *self.faults.borrow_mut() = faults;
+        let is_down = faults.down;
+        let was_down = std::mem::replace(&mut *self.faults.borrow_mut(), faults).down;
+        if is_down {
+            self.listener.set_refusing(true);
+        } else if was_down {
+            let shared = Rc::clone(self);
+            actix_rt::spawn(async move { shared.start_again().await });
+        }
+    }
+
+    /// Ends the server, which starts again after a time, unless it is down then.
+    pub(crate) fn crash(self: &Rc<Self>) {
+        if self.listener.is_refusing() {
+            return;
+        }
+        self.listener.set_refusing(true);
+        let pause = Duration::from_millis(self.faults.borrow().restart_ms);
+        let shared = Rc::clone(self);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(pause).await;
+            if !shared.faults.borrow().down {
+                shared.start_again().await;
+            }
+        });
+    }
+
+    /// Opens the port again, as a new incarnation, and enters it in the host list.
+    async fn start_again(&self) {
+        self.incarnation.set(Incarnation(rand::random()));
+        self.started.set(BootClock.now());
+        self.listener.set_refusing(false);
+        if let Err(error) = self.register().await {
+            eprintln!("ggs-standin: {error}");
+        }
+    }
+
+    /// The server's row in the host list.
+    fn entry(&self) -> ServerEntry {
+        let state = if self.draining.get() {
+            ServerState::Leaving
+        } else {
+            ServerState::Live
+        };
+        ServerEntry {
+            service: self.options.service.clone(),
+            server: ServerId {
+                address: self.address.get(),
+                incarnation: self.incarnation.get(),
+            },
+            data_centre: self.options.data_centre.clone(),
+            state,
+        }
+    }
+
+    /// Enters the server's row in the platform's host list, if it was started with one.
+    async fn register(&self) -> io::Result<()> {
+        match &self.options.register {
+            Some(platform) => register(platform, &self.entry()).await,
+            None => Ok(()),
+        }
     }
 
     /// Whether the server has just started.
     pub(crate) fn is_cold(&self) -> bool {
-        BootClock.now().since(self.started) < self.options.cold
+        BootClock.now().since(self.started.get()) < self.options.cold
     }
 
     /// Times that runs take longer now.
@@ -165,20 +228,7 @@
 
     /// The server's row in the host list.
     pub fn entry(&self) -> ServerEntry {
-        let state = if self.shared.draining.get() {
-            ServerState::Leaving
-        } else {
-            ServerState::Live
-        };
-        ServerEntry {
-            service: self.shared.options.service.clone(),
-            server: ServerId {
-                address: self.address(),
-                incarnation: self.shared.incarnation,
-            },
-            data_centre: self.shared.options.data_centre.clone(),
-            state,
-        }
+        self.shared.entry()
     }
 
     /// Sets all faults.
@@ -197,10 +247,7 @@
     ///
     /// Fails when the platform does not take it.
     pub async fn register(&self) -> io::Result<()> {
-        match &self.shared.options.register {
-            Some(platform) => register(platform, &self.entry()).await,
-            None => Ok(()),
-        }
+        self.shared.register().await
     }
 
     /// The load now.
@@ -244,9 +291,9 @@
     let listener = Rc::new(ListenerControl::default());
     let queue = SlotQueue::new(options.slots, options.queue_limit);
     let shared = Rc::new(ServerShared {
-        incarnation: Incarnation(rand::random()),
-        started: BootClock.now(),
-        name: RefCell::default(),
+        incarnation: Cell::new(Incarnation(rand::random())),
+        started: Cell::new(BootClock.now()),
+        address: Cell::new(options.listen),
         listener: Rc::clone(&listener),
         faults: RefCell::default(),
         queue,
@@ -260,7 +307,7 @@
     let options = &shared.options;
     let work = listen(options.listen, listener, Rc::clone(&handler)).await?;
     let admin = listen(options.admin, Rc::default(), handler).await?;
-    *shared.name.borrow_mut() = work.address().to_string();
+    shared.address.set(work.address());
     let handle = ServerHandle {
         shared,
         work,
--- a/crates/standin/src/work.rs
+++ b/crates/standin/src/work.rs
@@ -81,8 +81,11 @@
         let shared = &self.shared;
         let mut builder = Response::build(status);
         builder.insert_header((HeaderNames::LOAD, shared.report()));
-        builder.insert_header((HeaderNames::INCARNATION, shared.incarnation.to_string()));
-        builder.insert_header((HeaderNames::SERVER, shared.name.borrow().as_str()));
+        builder.insert_header((
+            HeaderNames::INCARNATION,
+            shared.incarnation.get().to_string(),
+        ));
+        builder.insert_header((HeaderNames::SERVER, shared.address.get().to_string()));
         if shared.draining.get() {
             builder.insert_header((HeaderNames::LEAVING, "1"));
         }
@@ -149,6 +152,7 @@
         let work = RequestedWork::new(request, self.shared.options.service_time);
         let key = header(request, HeaderNames::KEY);
         self.shared.runs.borrow_mut().count(&work.token, key);
+        self.crash_on(request.path()).await;
         let slowness = self.shared.slowness();
         if !work.time.is_zero() {
             actix_rt::time::sleep(work.time.mul_f64(slowness)).await;
@@ -180,6 +184,19 @@
         permit.ok_or_else(|| self.refuse(if cold { "cold" } else { "shed" }))
     }
 
+    /// Ends the server if requests with this path do so.
+    async fn crash_on(&self, path: &str) {
+        let crashes = {
+            let faults = self.shared.faults.borrow();
+            let crash_path = faults.crash_path.as_ref();
+            crash_path.is_some_and(|prefix| path.starts_with(prefix))
+        };
+        if crashes {
+            self.shared.crash();
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Breaks the connection if the fault is set.
     async fn lose_answer(&self, connection: &Rc<ConnectionControl>) {
         let loses = {
--- a/crates/standin/tests/server.rs
+++ b/crates/standin/tests/server.rs
@@ -384,6 +384,53 @@
     }
 }
 
+/// Time until a server that a request has ended starts again, in milliseconds.
+const RESTART_MS: u64 = 200;
+
+#[actix_rt::test]
+async fn a_server_that_goes_down_ends_its_work_and_starts_again_as_another_incarnation() {
+    let server = start(ServerOptions::default()).await;
+    let first = server.entry().server;
+    let running = call(&server, "/x?ms=2000&token=running", None);
+    let down = async {
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
+        server.set_faults(ServerFaults {
+            down: true,
+            ..ServerFaults::default()
+        });
+    };
+    let (running, ()) = futures_util::future::join(running, down).await;
+    assert_eq!(running, None);
+    assert_eq!(call(&server, "/x", None).await, None);
+    server.set_faults(ServerFaults::default());
+    actix_rt::time::sleep(Duration::from_millis(100)).await;
+    let answer = call(&server, "/x?token=after", None).await;
+    assert_eq!(answer.expect("answer").status, 200);
+    let second = server.entry().server;
+    assert_eq!(second.address, first.address);
+    assert_ne!(second.incarnation, first.incarnation);
+}
+
+#[actix_rt::test]
+async fn a_request_ends_its_server_each_time_it_runs() {
+    let server = start(ServerOptions::default()).await;
+    server.set_faults(ServerFaults {
+        crash_path: Some("/crash".to_owned()),
+        restart_ms: RESTART_MS,
+        ..ServerFaults::default()
+    });
+    for crashes in 1..=3 {
+        let first = server.entry().server.incarnation;
+        assert_eq!(call(&server, "/crash?token=crash", None).await, None);
+        assert_eq!(server.runs_of("crash"), crashes);
+        assert_eq!(call(&server, "/x", None).await, None, "is not back yet");
+        actix_rt::time::sleep(Duration::from_millis(2 * RESTART_MS)).await;
+        let answer = call(&server, "/x", None).await;
+        assert_eq!(answer.expect("answer").status, 200);
+        assert_ne!(server.entry().server.incarnation, first);
+    }
+}
+
 async fn report_of(server: &ServerHandle) -> String {
     let answer = client()
         .get(url(server, "/health"))
