--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -290,6 +290,17 @@
 
     /// Records the same for an identity that this gate may not know, as other gates may have it in
     /// quarantine.
+    ///
+    /// ```
+    /// use ggs_model::Moment;
+    /// use ggs_quarantine::{CrashTable, RequestDigest};
+    ///
+    /// let (mut table, request) = (CrashTable::default(), RequestDigest([1; 16]));
+    /// table.record_answer(request, Moment::ZERO);
+    /// assert_eq!(table.record_of(&request), None);
+    /// table.record_release(request, Moment::ZERO);
+    /// assert!(table.record_of(&request).unwrap().answered);
+    /// ```
     pub fn record_release(&mut self, request: RequestDigest, now: Moment) -> CrashChange {
         self.merge(
             &CrashRecord {
