Check callers' keys and tell servers the caller's workspace

Cause: with `tenants` in the configuration every request needs a key, and servers must get the name of the key's tenant and never the key.

No authorization text in the log of a gate.

--- a/crates/edge/src/answer.rs
+++ b/crates/edge/src/answer.rs
@@ -20,6 +20,8 @@
     BadRequest,
     /// The body is longer than allowed.
     BodyTooLong,
+    /// The caller has no key that a workspace has.
+    NotAllowed,
     /// No route matches the request, or the route has no service.
     NoRoute,
     /// No configuration is known yet.
@@ -61,6 +63,7 @@
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NotAllowed => StatusCode::UNAUTHORIZED,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoConfig
             | Self::NoMemory
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -16,6 +16,7 @@
 use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{RequestHead, StatusCode, Uri};
 use bytes::Bytes;
+use ggs_access::AccessError;
 use ggs_model::{Clock, Moment};
 use ggs_observe::LogEvent;
 use ggs_relay::{FailureKind, ServerConnection};
@@ -391,7 +392,10 @@
             let version = config.version;
             // An older configuration never replaces a newer one.
             if version > core.config_feed.version() {
-                put_in_force(core, config, bytes.len());
+                if let Err(error) = put_in_force(core, config, bytes.len()) {
+                    report_unreadable(core, &error.to_string());
+                    return None;
+                }
                 *core.config_feed.text.borrow_mut() = Some(ConfigText { version, bytes });
             }
             Some(version)
@@ -411,7 +415,11 @@
 }
 
 /// Replaces the routes by those of a configuration whose text has a length in bytes.
-fn put_in_force<W, S>(core: &EdgeCore<W, S>, config: RouteConfig, bytes: usize) {
+fn put_in_force<W, S>(
+    core: &EdgeCore<W, S>,
+    config: RouteConfig,
+    bytes: usize,
+) -> Result<(), AccessError> {
     let now = core.clock.now();
     let confirmed_ago = now.since(core.config_feed.confirmed_at.get());
     let pairs = slog::o!(
@@ -419,14 +427,17 @@
         "before" => core.config_feed.version(),
         "confirmed_ms_ago" => confirmed_ago.as_millis() as u64,
         "routes" => config.routes.len(),
+        "workspaces" => config.workspaces.as_ref().map(Vec::len),
         "bytes" => bytes,
     );
-    core.metrics.set_config_version(config.version);
-    let table = RouteTable::new(config, rand::random());
+    let version = config.version;
+    let table = RouteTable::new(config, rand::random())?;
+    core.metrics.set_config_version(version);
     *core.routes.borrow_mut() = Some(Rc::new(table));
     core.refresh_services(now);
     let message = "new configuration is in force";
     core.log.emit(LogEvent::ConfigInForce, message, pairs);
+    Ok(())
 }
 
 /// Reads the settings again on each `signal` and at a fixed period, and puts changed ones in force.
--- a/crates/edge/src/contacts.rs
+++ b/crates/edge/src/contacts.rs
@@ -3,7 +3,7 @@
 //! Gates become known from the store, from their datagrams and from the lists of other gates. The contacts say where to send
 //! datagrams, and which gates of other data centres an entry answer can name.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use foldhash::HashMap;
@@ -111,6 +111,11 @@
         self.contacts.keys().copied().collect()
     }
 
+    /// Whether a gate runs on the host with this address.
+    pub(crate) fn knows_host(&self, host: IpAddr) -> bool {
+        self.contacts.keys().any(|peers| peers.ip() == host)
+    }
+
     /// Records that another gate has listed the gates, or that they have been read from the store.
     pub(crate) fn set_gates_known(&mut self) {
         self.gates_known = true;
--- a/crates/edge/src/detour.rs
+++ b/crates/edge/src/detour.rs
@@ -16,13 +16,14 @@
 use actix_http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 use actix_http::{Request, Response, StatusCode};
 use ggs_member::PeerLiveness;
-use ggs_model::{Clock, Moment};
+use ggs_model::{Clock, Moment, ServiceName};
 use ggs_place::ListedServer;
 use ggs_reach::{DetourGate, ReachState};
 use ggs_relay::{ConnectionReuse, ServerConnection};
 use strum::{Display, IntoStaticStr};
 use tokio::time::timeout;
 
+use crate::access::{CallerAccess, GateClaim};
 use crate::answer::{FinalFailure, LocalAnswer};
 use crate::attempt::{EdgeAnswer, SendProgress, receive_answer, start_exchange};
 use crate::body::EdgeBody;
@@ -32,7 +33,7 @@
 };
 use crate::ports::EdgeWire;
 use crate::request::{EdgeRequest, RequestOrigin, read_body};
-use crate::serve::{forward_answer, relay};
+use crate::serve::{forward_answer, read_host, relay};
 use crate::service::ServiceState;
 use crate::span::RequestSpan;
 
@@ -50,6 +51,8 @@
     Unreachable,
     /// It stops, or does not know the servers yet.
     NotReady,
+    /// Its own configuration does not allow the request, or it does not know the other gate.
+    NotAllowed,
     /// It has as many requests of other gates as it may have, or no memory for the body.
     Full,
     /// What the other gate says of the request cannot be decoded.
@@ -374,8 +377,17 @@
     let limit = core.settings().body_bytes();
     let held = read_body(request, limit, &core.body_budget, body.answer_time()).await;
     let held = held.map_err(|_| DeclineCause::Full)?;
+    // The check is that of the configuration in force once the body has been read.
+    let access = check_access(core, request, &body, &service.name)?;
     let names = core.wire.headers();
-    let read = EdgeRequest::new(request.head(), held, &body.route(), names, arrived_at);
+    let read = EdgeRequest::new(
+        request.head(),
+        held,
+        &body.route(),
+        access,
+        names,
+        arrived_at,
+    );
     let mut headers = read.headers;
     headers.remove(DETOUR_HEADER);
     let request = EdgeRequest {
@@ -390,6 +402,30 @@
     Ok((request, guard))
 }
 
+/// Checks a request of another gate against the configuration in force here.
+fn check_access<W, S>(
+    core: &EdgeCore<W, S>,
+    request: &Request,
+    body: &DetourBody,
+    service: &ServiceName,
+) -> Result<CallerAccess, DeclineCause>
+where
+    W: EdgeWire,
+{
+    let routes = core.routes().ok_or(DeclineCause::NotReady)?;
+    let host = read_host(request).map_err(|_| DeclineCause::Malformed)?;
+    let head = request.head();
+    let claim = GateClaim {
+        service,
+        key: body.key(),
+        sender: head.peer_addr.map(|address| address.ip()),
+    };
+    let names = core.wire.headers();
+    let target = (host.as_str(), request.path());
+    let access = core.check_claim(&routes, &claim, target, &head.headers, names);
+    access.ok_or(DeclineCause::NotAllowed)
+}
+
 /// Sends a request of another gate to servers. An answer of this gate itself says whether the request
 /// has run, as that of a server does.
 async fn relay_for_gate<W, S>(
--- a/crates/edge/src/detour_wire.rs
+++ b/crates/edge/src/detour_wire.rs
@@ -13,6 +13,7 @@
 use actix_http::header::{HeaderName, HeaderValue};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD_NO_PAD;
+use ggs_access::KeyDigest;
 use ggs_model::{Moment, ServiceName};
 use ggs_place::ListedServer;
 use ggs_route::{ActiveRoute, RepeatRule, RouteRule, RouteTarget};
@@ -68,6 +69,9 @@
     /// IP address of the caller, in 4 or 16 bytes; empty if it is not known.
     #[prost(bytes = "vec", tag = "9")]
     caller: Vec<u8>,
+    /// Digest of the caller's key, in 32 bytes; empty if the first gate knows none.
+    #[prost(bytes = "vec", tag = "10")]
+    key: Vec<u8>,
 }
 
 /// Why a header between gates cannot be used.
@@ -118,7 +122,7 @@
             idempotent: rule.repeat == RepeatRule::Idempotent,
             attempts,
             objective_ms: rule.objective.saturating_sub(held).as_millis() as u64,
-            priority: rule.priority,
+            priority: request.priority(),
             answer_ms: request.answer_by.since(now).as_millis() as u64,
             deadline_ms: request.deadline.since(now).as_millis() as u64,
             caller: match request.caller {
@@ -126,6 +130,10 @@
                 Some(IpAddr::V6(address)) => address.octets().to_vec(),
                 None => Vec::new(),
             },
+            key: match request.access.key() {
+                Some(key) => key.as_bytes().to_vec(),
+                None => Vec::new(),
+            },
         }
     }
 
@@ -148,6 +156,7 @@
             objective: Duration::from_millis(self.objective_ms),
             attempts: self.attempts,
             priority: self.priority,
+            is_public: false,
         };
         Rc::new(ActiveRoute::new(rule, 0))
     }
@@ -167,6 +176,11 @@
         Duration::from_millis(self.deadline_ms)
     }
 
+    /// Digest of the caller's key, if the first gate knows one.
+    pub(crate) fn key(&self) -> Option<KeyDigest> {
+        KeyDigest::from_bytes(&self.key)
+    }
+
     /// Address of the caller.
     pub(crate) fn caller(&self) -> Option<IpAddr> {
         if let Ok(octets) = <[u8; 4]>::try_from(self.caller.as_slice()) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -8,6 +8,7 @@
 //! server list in UDP datagrams. A gate that does not reach the servers sends its requests through
 //! other gates.
 
+mod access;
 mod answer;
 mod attempt;
 mod body;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -6,6 +6,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use ggs_access::AccessRefusal;
 use ggs_observe::LATENCY_BUCKETS;
 use ggs_place::SendOutcome;
 use prometheus_client::encoding::EncodeLabelSet;
@@ -46,6 +47,12 @@
     outcome: &'static str,
 }
 
+/// Labels of requests without a key.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabels {
+    cause: &'static str,
+}
+
 /// Labels of requests of other gates.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct StatusLabels {
@@ -60,6 +67,7 @@
     sends: Family<SendLabels, Counter>,
     connects: Family<OutcomeLabels, Counter>,
     rests: Counter,
+    unauthorized: Family<CauseLabels, Counter>,
     detours: Family<OutcomeLabels, Counter>,
     taken: Family<StatusLabels, Counter>,
     trials: Family<OutcomeLabels, Counter>,
@@ -92,6 +100,9 @@
         let rests = Counter::default();
         let help = "Answers in which servers asked this gate for rest";
         registry.register("rests", help, rests.clone());
+        let unauthorized = Family::default();
+        let help = "Requests without a key that a workspace has";
+        registry.register("unauthorized", help, unauthorized.clone());
         let detours: Family<OutcomeLabels, Counter> = Family::default();
         // Exported from the start, as a rise from zero raises an alarm.
         let labels = OutcomeLabels {
@@ -135,6 +146,7 @@
             sends,
             connects,
             rests,
+            unauthorized,
             detours,
             taken,
             trials,
@@ -176,6 +188,14 @@
         self.rests.inc();
     }
 
+    /// Counts a request without a key that a workspace has.
+    pub(crate) fn count_unauthorized(&self, refusal: AccessRefusal) {
+        let labels = CauseLabels {
+            cause: refusal.into(),
+        };
+        self.unauthorized.get_or_create(&labels).inc();
+    }
+
     /// Counts how a request to another gate ended.
     pub(crate) fn count_detour(&self, outcome: &'static str) {
         self.detours.get_or_create(&OutcomeLabels { outcome }).inc();
--- a/crates/edge/src/ports.rs
+++ b/crates/edge/src/ports.rs
@@ -36,6 +36,10 @@
     pub not_run: HeaderName,
     /// Instance identifier of the server that answers.
     pub instance: HeaderName,
+    /// The key of a caller, with its scheme.
+    pub credentials: HeaderName,
+    /// Name of the caller's workspace, which gates tell servers.
+    pub workspace: HeaderName,
 }
 
 /// A caller's lookup of gates.
--- a/crates/edge/src/request.rs
+++ b/crates/edge/src/request.rs
@@ -20,6 +20,7 @@
 use ggs_route::ActiveRoute;
 use tokio::time::timeout;
 
+use crate::access::CallerAccess;
 use crate::detour_wire::DETOUR_HEADER;
 use crate::ports::WireHeaders;
 
@@ -82,6 +83,8 @@
     /// End-to-end headers, which are forwarded to servers.
     pub(crate) headers: HeaderMap,
     pub(crate) body: HeldBody,
+    /// Who sent it.
+    pub(crate) access: CallerAccess,
     pub(crate) route: Rc<ActiveRoute>,
     /// When the gate had read its head.
     pub(crate) read_at: Moment,
@@ -100,9 +103,12 @@
         head: &RequestHead,
         body: HeldBody,
         route: &Rc<ActiveRoute>,
+        access: CallerAccess,
         names: &WireHeaders,
         now: Moment,
     ) -> Self {
+        let mut headers = end_to_end_headers(&head.headers);
+        access.apply_to(&mut headers, names);
         let timeout = route.rule().timeout;
         let requested = requested_time(head, route, names);
         Self {
@@ -110,8 +116,9 @@
             method: head.method.clone(),
             caller: head.peer_addr.map(|address| address.ip()),
             target: head.uri.clone(),
-            headers: end_to_end_headers(&head.headers),
+            headers,
             body,
+            access,
             route: Rc::clone(route),
             read_at: now,
             deadline: now + requested,
@@ -120,6 +127,13 @@
         }
     }
 
+    /// Priority of the request, 0 for the most urgent: that of the workspace if it has one.
+    pub(crate) fn priority(&self) -> u32 {
+        let workspace = self.access.workspace();
+        let priority = workspace.and_then(|workspace| workspace.priority);
+        priority.unwrap_or(self.route.rule().priority)
+    }
+
     /// The request id that the caller set.
     pub(crate) fn id(&self, names: &WireHeaders) -> Option<&HeaderValue> {
         self.headers.get(&names.request_id)
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -15,9 +15,10 @@
 use ggs_quarantine::TrialEnd;
 use ggs_reach::{ReachEvent, ReachState};
 use ggs_relay::FailureKind;
-use ggs_route::{RepeatRule, RouteTable};
+use ggs_route::{ActiveRoute, RepeatRule, RouteTable};
 use tokio::time::timeout;
 
+use crate::access::CallerAccess;
 use crate::answer::{FinalFailure, LocalAnswer};
 use crate::attempt::{self, AnswerBytes, EdgeAnswer, SendFailure, SendGuard, SendProgress};
 use crate::body::{EdgeBody, StreamedBody};
@@ -103,6 +104,7 @@
     let route = routes.find(&host, request.path()).map(Rc::clone);
     let route = route.ok_or(LocalAnswer::NoRoute)?;
     let names = core.wire.headers();
+    check_caller(core, &routes, &route, request)?;
     let time = requested_time(request.head(), &route, names).min(route.rule().timeout);
     let time_left = (arrived_at + time).since(core.clock.now());
     let limit = routes.limits().body_bytes;
@@ -111,10 +113,30 @@
     let routes = core.routes().unwrap_or(routes);
     let route = routes.find(&host, request.path()).map(Rc::clone);
     let route = route.ok_or(LocalAnswer::NoRoute)?;
-    let request = EdgeRequest::new(request.head(), body, &route, names, arrived_at);
+    let access = check_caller(core, &routes, &route, request)?;
+    let request = EdgeRequest::new(request.head(), body, &route, access, names, arrived_at);
     Ok((routes, request))
 }
 
+/// Checks the key of a caller.
+fn check_caller<W, S>(
+    core: &EdgeCore<W, S>,
+    routes: &RouteTable,
+    route: &ActiveRoute,
+    request: &Request,
+) -> Result<CallerAccess, LocalAnswer>
+where
+    W: EdgeWire,
+{
+    let names = core.wire.headers();
+    let access = CallerAccess::of_caller(routes, route, request.headers(), names);
+    access.map_err(|refusal| {
+        core.metrics.count_unauthorized(refusal);
+        core.log_unauthorized(request, route, refusal);
+        LocalAnswer::NotAllowed
+    })
+}
+
 impl From<RequestFault> for LocalAnswer {
     fn from(fault: RequestFault) -> Self {
         match fault {
@@ -127,7 +149,7 @@
 }
 
 /// The host from the `Host` header or, without one, from the request target.
-fn read_host(request: &Request) -> Result<String, RequestFault> {
+pub(crate) fn read_host(request: &Request) -> Result<String, RequestFault> {
     let host = request.headers().get(HOST);
     let host = host.and_then(|value| value.to_str().ok());
     let host = host.or_else(|| request.uri().host());
--- a/crates/edge/src/span.rs
+++ b/crates/edge/src/span.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use actix_http::{Request, StatusCode};
+use ggs_access::AccessRefusal;
 use ggs_model::Clock;
 use ggs_observe::LogEvent;
 use ggs_place::Placement;
 use ggs_relay::FailureKind;
+use ggs_route::ActiveRoute;
 
 use crate::answer::LocalAnswer;
 use crate::core::EdgeCore;
@@ -162,7 +164,7 @@
             return;
         }
         let elapsed = self.core.clock.now().since(self.request.read_at);
-        let priority = self.request.route.rule().priority;
+        let priority = self.request.priority();
         metrics.observe_request(priority, status.as_u16(), elapsed);
     }
 
@@ -183,6 +185,26 @@
 where
     W: EdgeWire,
 {
+    /// Logs that a caller has no key for a route.
+    pub(crate) fn log_unauthorized(
+        &self,
+        request: &Request,
+        route: &ActiveRoute,
+        refusal: AccessRefusal,
+    ) {
+        let id = &self.wire.headers().request_id;
+        let id = request.head().headers.get(id);
+        let id = id.and_then(|value| value.to_str().ok()).unwrap_or_default();
+        let pairs = slog::o!(
+            "request" => id.to_owned(),
+            "route" => route.rule().name.to_string(),
+            "cause" => refusal.to_string(),
+            "version" => self.config_feed.version(),
+        );
+        let message = "caller has no key for the route";
+        self.log.emit(LogEvent::CallerUnauthorized, message, pairs);
+    }
+
     /// Logs that a request was answered before its body was read, unless it had none to read.
     pub(crate) fn log_unread_request(&self, request: &Request, answer: LocalAnswer) {
         if !matches!(
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -107,6 +107,12 @@
     RequestReleased = 408,
     /// A request in quarantine was tried at a server, which brought no good answer.
     TrialFailed = 409,
+    /// A caller sent no key, or one that no workspace of the configuration has.
+    CallerUnauthorized = 410,
+    /// A workspace sends more than its quota; requests beyond it are refused.
+    QuotaExceeded = 411,
+    /// A workspace is within its quota again.
+    QuotaRestored = 412,
     /// Heartbeats arrived from gates that are new or were unreachable.
     GateJoined = 500,
     /// Another gate announced that it stops.
@@ -170,6 +176,9 @@
             | Self::RequestRefused
             | Self::CallerLeft
             | Self::BodyNotRead
+            | Self::CallerUnauthorized
+            | Self::QuotaExceeded
+            | Self::QuotaRestored
             | Self::RequestReleased
             | Self::DocumentsFresh
             | Self::PlatformRecovered
--- a/crates/route/src/config.rs
+++ b/crates/route/src/config.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use ggs_access::WorkspaceRule;
 use ggs_model::ServiceName;
 use strum::{Display, IntoStaticStr};
 
@@ -50,10 +51,12 @@
     pub attempts: u32,
     /// Priority of the requests; 0 is the most urgent.
     pub priority: u32,
+    /// Whether callers need no key, if the configuration has workspaces.
+    pub is_public: bool,
 }
 
 /// A service, apart from its servers.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ServiceRule {
     /// Name by which routes refer to it.
     pub name: ServiceName,
@@ -61,6 +64,9 @@
     pub health_path: Arc<str>,
     /// Connections that each server accepts from all gates together.
     pub connections: u32,
+    /// Requests per second that a server bears from all gates together while it is cold; `None` if cold
+    /// servers are only slow.
+    pub cold_per_second: Option<f64>,
 }
 
 /// Limits on what a caller may send and how long it may take.
@@ -75,7 +81,7 @@
 }
 
 /// One complete configuration.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RouteConfig {
     /// Version, which increases with each configuration, not always by one.
     pub version: u64,
@@ -85,4 +91,6 @@
     pub routes: Vec<RouteRule>,
     /// All services.
     pub services: Vec<ServiceRule>,
+    /// Workspaces that callers belong to; `None` if callers need no keys.
+    pub workspaces: Option<Vec<WorkspaceRule>>,
 }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use foldhash::{HashMap, HashMapExt};
+use ggs_access::{AccessError, AccessTable};
 use ggs_model::ServiceName;
 
 use crate::{CallerLimits, RouteConfig, RouteRule, ServiceRule, WeightedSplit};
@@ -49,8 +50,9 @@
 ///
 /// let second = Duration::from_secs(1);
 /// let limits = CallerLimits { body_bytes: 1 << 20, head_time: second, idle_time: second };
-/// let config = RouteConfig { version: 3, limits, routes: vec![], services: vec![] };
-/// let table = RouteTable::new(config, 0);
+/// let config =
+///     RouteConfig { version: 3, limits, routes: vec![], services: vec![], workspaces: None };
+/// let table = RouteTable::new(config, 0).unwrap();
 /// assert_eq!(table.version(), 3);
 /// assert!(table.find("shop.example", "/a/b").is_none());
 /// ```
@@ -60,12 +62,17 @@
     limits: CallerLimits,
     hosts: HashMap<Arc<str>, HashMap<Arc<str>, Rc<ActiveRoute>>>,
     services: HashMap<ServiceName, ServiceRule>,
+    access: Option<AccessTable>,
 }
 
 impl RouteTable {
     /// Builds the table of a configuration; `phase` is where the splits of its routes start, as in
     /// [`WeightedSplit::new`].
-    pub fn new(config: RouteConfig, phase: u64) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// Fails if two workspaces have the same name or key.
+    pub fn new(config: RouteConfig, phase: u64) -> Result<Self, AccessError> {
         let mut hosts: HashMap<_, HashMap<_, _>> = HashMap::new();
         for rule in config.routes {
             let (host, prefix) = (Arc::clone(&rule.host), Arc::clone(&rule.prefix));
@@ -73,12 +80,13 @@
             hosts.entry(host).or_default().insert(prefix, route);
         }
         let services = config.services.into_iter();
-        Self {
+        Ok(Self {
             version: config.version,
             limits: config.limits,
             hosts,
             services: services.map(|rule| (rule.name.clone(), rule)).collect(),
-        }
+            access: config.workspaces.map(AccessTable::new).transpose()?,
+        })
     }
 
     /// Version of the configuration.
@@ -96,6 +104,11 @@
         self.services.get(name)
     }
 
+    /// Workspaces and their keys; `None` if callers need no keys.
+    pub fn access(&self) -> Option<&AccessTable> {
+        self.access.as_ref()
+    }
+
     /// All services, in no particular order.
     pub fn services(&self) -> impl Iterator<Item = &ServiceRule> {
         self.services.values()
--- a/crates/route/tests/table.rs
+++ b/crates/route/tests/table.rs
@@ -23,6 +23,7 @@
         objective: Duration::from_millis(200),
         attempts: 2,
         priority: 1,
+        is_public: false,
     }
 }
 
@@ -38,8 +39,9 @@
         limits,
         routes: rules,
         services: vec![],
+        workspaces: None,
     };
-    RouteTable::new(config, 0)
+    RouteTable::new(config, 0).unwrap()
 }
 
 /// A lookup and the prefix of the route that it must find.
