Limit what cold servers get, and empty data centres on request

Change: requests to a cold server leave from one gate of its data centre, as for servers that name a limit; gates learn of cold servers by rows, health answers and load updates. Servers of evacuated data centres are left out of all load tables; gates hear of evacuations in datagrams, and keep them for 3 s if a restored store lacks them.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -282,6 +282,9 @@
         core.record_load_report(service, key, sample);
     }
     if head.status != StatusCode::MISDIRECTED_REQUEST {
+        if let Some(left) = core.wire.read_cold(&head.headers) {
+            core.note_cold(service, key, left);
+        }
         core.observe_answer_limit(&server.instance, &head.headers);
         core.observe_leaving(&server.instance, server.started_ms, &head.headers);
         core.observe_rest(service, key, server, &head);
--- a/crates/edge/src/catalog.rs
+++ b/crates/edge/src/catalog.rs
@@ -42,6 +42,17 @@
     expires_at: Option<Moment>,
 }
 
+/// Differences between two statements on how long a server stays cold that do not matter: a row is as
+/// old as the last heartbeat.
+const COLD_PRECISION: Duration = Duration::from_millis(500);
+
+impl CatalogEntry {
+    /// Whether a row says that the server is cold, and this entry does not.
+    fn is_cooled_by(&self, record: &ServerRecord, now: Moment) -> bool {
+        !record.cold_left.is_zero() && now + record.cold_left > self.cold_until + COLD_PRECISION
+    }
+}
+
 /// A server's statement that it is leaving.
 #[derive(Clone, Copy, Debug)]
 struct LeavingNotice {
@@ -57,14 +68,16 @@
     pub listed: Vec<Arc<str>>,
     /// Servers that get no new requests any more.
     pub dropped: Vec<Arc<str>>,
+    /// Usable servers that are cold again.
+    pub cooled: Vec<Arc<str>>,
     /// Rows that cannot be used, with the cause.
     pub unreadable: Vec<(Arc<str>, String)>,
 }
 
 impl CatalogDiff {
-    /// Whether the set of usable servers changed.
+    /// Whether the set of usable servers changed, or one of them is cold again.
     pub fn changes_servers(&self) -> bool {
-        !self.listed.is_empty() || !self.dropped.is_empty()
+        !self.listed.is_empty() || !self.dropped.is_empty() || !self.cooled.is_empty()
     }
 }
 
@@ -147,6 +160,22 @@
         }
     }
 
+    /// Whether a change that arrives at `now` says that a known server is cold again.
+    pub fn turns_cold(&self, change: &FeedChange<ServerRecord>, now: Moment) -> bool {
+        let entry = self.entries.get(&change.key);
+        match (&change.value, entry) {
+            (FeedValue::Present(record), Some(entry)) => entry.is_cooled_by(record, now),
+            _ => false,
+        }
+    }
+
+    /// Records that a server said that it is cold until `until`.
+    pub(crate) fn note_cold(&mut self, key: &str, until: Moment) {
+        if let Some(entry) = self.entries.get_mut(key) {
+            entry.cold_until = until;
+        }
+    }
+
     /// Digest of the servers whose rows the store has; equal lists have equal digests.
     pub fn digest(&self) -> u64 {
         let state = FixedState::with_seed(DIGEST_SEED);
@@ -257,6 +286,13 @@
             diff.dropped.push(Arc::clone(&key));
         } else if is_usable && !(was_usable && same_incarnation) {
             diff.listed.push(Arc::clone(&key));
+        } else if is_usable
+            && self
+                .entries
+                .get(&key)
+                .is_some_and(|entry| entry.is_cooled_by(&record, now))
+        {
+            diff.cooled.push(Arc::clone(&key));
         }
         let entry = CatalogEntry {
             cold_until: now + record.cold_left,
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -28,7 +28,9 @@
 use crate::datagrams::Datagram;
 use crate::feeds::{ConfigText, PeerConfig};
 use crate::gates::send_to_near_gates;
-use crate::ports::{EdgeWire, FeedPage, FeedValue, FleetError, FleetStore, SettingsSource};
+use crate::ports::{
+    EdgeWire, FeedPage, FeedValue, FleetError, FleetStore, OperatorPage, SettingsSource,
+};
 use crate::servers::ReaderChoice;
 use crate::store_health::StoreHealth;
 
@@ -115,6 +117,7 @@
             config_version: self.config_feed.version(),
             config_age_ms: Some(self.config_age_ms()),
             config_bytes: self.config_feed.byte_count(),
+            evacuations: self.encode_evacuations(),
             ..Datagram::default()
         }
     }
@@ -218,11 +221,13 @@
 
 /// Applies what a read that began at `started` returned, and confirms the configuration that is then
 /// in force.
-fn apply_read<W, S>(core: &EdgeCore<W, S>, kind: ConfigRead, started: Moment, page: FeedPage<Bytes>)
+fn apply_read<W, S>(core: &EdgeCore<W, S>, kind: ConfigRead, started: Moment, page: OperatorPage)
 where
     W: EdgeWire,
 {
     let now = core.clock.now();
+    core.apply_evacuations(&page.evacuations);
+    let page = page.configs;
     let confirmed_at = if page.changes.is_empty() {
         // The store has held the call for the whole wait.
         (started + kind.wait()).min(now)
@@ -236,7 +241,7 @@
 }
 
 /// Reads the configurations that are new in the store.
-async fn read_at_once<W, S>(core: &EdgeCore<W, S>) -> Result<FeedPage<Bytes>, FleetError>
+async fn read_at_once<W, S>(core: &EdgeCore<W, S>) -> Result<OperatorPage, FleetError>
 where
     S: FleetStore,
 {
@@ -256,7 +261,7 @@
 async fn long_poll<W, S>(
     core: &EdgeCore<W, S>,
     wait: Duration,
-) -> Option<Result<FeedPage<Bytes>, FleetError>>
+) -> Option<Result<OperatorPage, FleetError>>
 where
     S: FleetStore,
 {
--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -17,7 +17,7 @@
 use ggs_observe::{EventLog, LogEvent};
 use ggs_place::{ListedServer, ProbeBucket, ServerKey};
 use ggs_quarantine::CrashTable;
-use ggs_reach::ServerReach;
+use ggs_reach::{EvacuationTable, ServerReach};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
 use ggs_route::RouteTable;
 use rand::seq::IteratorRandom;
@@ -112,6 +112,8 @@
     pub(crate) crash_news: CrashNews,
     /// Requests in quarantine that have to be written to the store.
     pub(crate) unsaved_quarantine: UnsavedQuarantine,
+    /// Data centres that operators want empty.
+    pub(crate) evacuations: RefCell<EvacuationTable>,
     /// Quotas of workspaces.
     pub(crate) quota: QuotaState,
     /// Live gates of the data centre that serve callers.
@@ -191,6 +193,7 @@
             crashes: RefCell::default(),
             crash_news: CrashNews::default(),
             unsaved_quarantine: UnsavedQuarantine::default(),
+            evacuations: RefCell::default(),
             quota: QuotaState::new(now),
             serving: RefCell::new(Vec::new()),
             near_probes: Cell::new(0.0),
@@ -323,7 +326,10 @@
         let settings = self.settings();
         let mut lists: HashMap<ServiceName, Vec<ListedServer>> = HashMap::new();
         let catalog = self.catalog.borrow();
-        for (record, cold_until) in catalog.usable() {
+        let evacuations = self.evacuations.borrow();
+        let usable = catalog.usable();
+        let usable = usable.filter(|(record, _)| !evacuations.contains(&record.data_centre));
+        for (record, cold_until) in usable {
             let list = lists.entry(record.service.clone()).or_default();
             list.push(ListedServer {
                 instance: Arc::clone(&record.instance),
@@ -361,7 +367,7 @@
             }
         }
         *self.instances.borrow_mut() = instances;
-        drop((catalog, rests));
+        drop((catalog, rests, evacuations));
         self.refresh_shares();
         self.refresh_group(now);
     }
--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use ggs_limit::{QuotaAsk, QuotaGrant};
+use ggs_model::DataCentre;
 use ggs_place::LoadSample;
+use ggs_reach::FeedPosition;
 use prost::Message;
 
 use crate::{FeedChange, FeedCursor, FeedValue, ServerRecord};
@@ -61,6 +63,9 @@
     /// What concerns quotas of workspaces.
     #[prost(message, optional, tag = "16")]
     pub(crate) quota: Option<QuotaBody>,
+    /// Evacuated data centres; absent if there have been none.
+    #[prost(message, optional, tag = "17")]
+    pub(crate) evacuations: Option<EvacuationBody>,
     /// Load reports and sends since the last update.
     #[prost(message, optional, tag = "3")]
     pub(crate) load_update: Option<LoadUpdateBody>,
@@ -169,6 +174,60 @@
     pub(crate) failed_trials: u32,
 }
 
+/// The evacuated data centres as of a position in the operator's feed.
+#[derive(Clone, PartialEq, Message)]
+pub(crate) struct EvacuationBody {
+    #[prost(uint64, tag = "1")]
+    era: u64,
+    #[prost(uint64, tag = "2")]
+    version: u64,
+    #[prost(message, repeated, tag = "3")]
+    data_centres: Vec<EvacuatedBody>,
+}
+
+/// An evacuated data centre.
+#[derive(Clone, PartialEq, Message)]
+struct EvacuatedBody {
+    #[prost(string, tag = "1")]
+    name: String,
+    /// Milliseconds after which it is dropped unless the restored store lists it again; absent while it
+    /// is listed.
+    #[prost(uint64, optional, tag = "2")]
+    left_ms: Option<u64>,
+}
+
+impl EvacuationBody {
+    /// Encodes the evacuated data centres as of `position`.
+    pub(crate) fn new(position: FeedPosition, entries: &[(DataCentre, Option<Duration>)]) -> Self {
+        let entries = entries.iter().map(|(name, left)| EvacuatedBody {
+            name: name.to_string(),
+            left_ms: left.map(|left| left.as_millis() as u64),
+        });
+        Self {
+            era: position.era,
+            version: position.version,
+            data_centres: entries.collect(),
+        }
+    }
+
+    /// The position up to which the sender knows the evacuations.
+    pub(crate) const fn position(&self) -> FeedPosition {
+        FeedPosition {
+            era: self.era,
+            version: self.version,
+        }
+    }
+
+    /// The evacuated data centres.
+    pub(crate) fn entries(&self) -> impl Iterator<Item = (DataCentre, Option<Duration>)> {
+        let entries = self.data_centres.iter();
+        entries.map(|entry| {
+            let left = entry.left_ms.map(Duration::from_millis);
+            (entry.name.as_str().into(), left)
+        })
+    }
+}
+
 /// Questions for parts of quotas, and their answers, with the gates that the sender counts.
 #[derive(Clone, PartialEq, Message)]
 pub(crate) struct QuotaBody {
@@ -306,19 +365,29 @@
     slots: u32,
     #[prost(uint32, tag = "5")]
     pace_percent: u32,
+    /// Milliseconds for which the server stays cold.
+    #[prost(uint32, tag = "6")]
+    cold_ms: u32,
 }
 
 impl LoadBody {
     /// Encodes the load of `instance`.
-    pub(crate) fn new(instance: &str, sample: LoadSample) -> Self {
+    pub(crate) fn new(instance: &str, sample: LoadSample, cold_left: Duration) -> Self {
         Self {
             instance: instance.to_owned(),
             running: sample.running,
             waiting: sample.waiting,
             slots: sample.slots,
             pace_percent: sample.pace_percent,
+            cold_ms: cold_left.as_millis() as u32,
         }
     }
+
+    /// Time for which the server stays cold; `None` if it is not, or the sender does not limit what cold
+    /// servers get.
+    pub(crate) fn cold_left(&self) -> Option<Duration> {
+        (self.cold_ms > 0).then(|| Duration::from_millis(self.cold_ms.into()))
+    }
 }
 
 impl From<&LoadBody> for LoadSample {
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -247,6 +247,7 @@
         core.contacts.borrow_mut().remove_expired(now);
         core.expire_rests();
         tick_quotas(&core, now);
+        core.expire_evacuations(now);
         core.refresh_group(now);
         if full_count < FULL_HEARTBEAT_COUNT && core.contacts.borrow().knows_gates() {
             full_count += 1;
@@ -381,6 +382,9 @@
     if let Some(quota) = &datagram.quota {
         core.apply_quota(quota, sender);
     }
+    if let Some(evacuations) = &datagram.evacuations {
+        core.apply_peer_evacuations(evacuations);
+    }
     if let Some(update) = &datagram.load_update {
         core.apply_load_update(update);
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod attempt;
 mod body;
 mod catalog;
+mod cold;
 mod config;
 mod connect;
 mod contacts;
@@ -24,6 +25,7 @@
 mod discovery;
 mod drain;
 mod entries;
+mod evacuation;
 mod feeds;
 mod gates;
 mod handle;
@@ -57,7 +59,7 @@
 pub use handle::{EdgeError, EdgeHandle, start};
 pub use ports::{
     EdgeWire, EntryAnswer, EntryQuery, FeedChange, FeedCursor, FeedPage, FeedValue, FleetError,
-    FleetStore, GateEntry, QuarantineRow, ServerRecord, SettingsSource, WireHeaders,
+    FleetStore, GateEntry, OperatorPage, QuarantineRow, ServerRecord, SettingsSource, WireHeaders,
 };
 pub use program::run;
 pub use settings::{EdgeBounds, EdgeSettings};
--- a/crates/edge/src/limits.rs
+++ b/crates/edge/src/limits.rs
@@ -125,6 +125,7 @@
         for (instance, state) in limits.states(now) {
             self.apply_limit(instance, state);
         }
+        self.refresh_cold_limits(now);
     }
 
     /// Sets what this gate may send to a server.
@@ -144,7 +145,7 @@
     }
 
     /// Whether this gate is the one of its data centre that sends to a limited server.
-    fn sends_limited(&self, instance: &str) -> bool {
+    pub(crate) fn sends_limited(&self, instance: &str) -> bool {
         let serving = self.serving.borrow();
         let chosen = choose_group(instance, &serving);
         chosen.first() == Some(&self.settings().listen_callers)
--- a/crates/edge/src/load_updates.rs
+++ b/crates/edge/src/load_updates.rs
@@ -31,10 +31,14 @@
         key: ServerKey,
         sample: LoadSample,
     ) {
+        let now = self.clock.now();
         let mut table = service.table.borrow_mut();
-        table.note_load(key, sample, self.clock.now());
+        table.note_load(key, sample, now);
         if let Some(server) = table.server(key) {
-            self.load_updates.add_load(&server.instance, sample);
+            let cold_until = server.cold_until.filter(|_| self.limits_cold_servers());
+            let cold_left = cold_until.map_or(Duration::ZERO, |until| until.since(now));
+            self.load_updates
+                .add_load(&server.instance, sample, cold_left);
         }
     }
 
@@ -45,6 +49,9 @@
             if let Some((service, key)) = self.find_server(&load.instance) {
                 let sample = LoadSample::from(load);
                 service.table.borrow_mut().note_load(key, sample, now);
+                if let Some(left) = load.cold_left() {
+                    self.note_cold(&service, key, left);
+                }
             }
         }
         for instance in &update.sends {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -93,6 +93,7 @@
     store_failures: Counter,
     config_version: Gauge,
     servers: Gauge,
+    evacuated: Gauge,
     /// Workspaces that have counters of their own.
     counted: RefCell<HashSet<Arc<str>>>,
 }
@@ -156,6 +157,9 @@
         let servers = Gauge::default();
         let help = "Servers that take new requests";
         registry.register("servers", help, servers.clone());
+        let evacuated = Gauge::default();
+        let help = "Data centres to whose servers nothing is sent";
+        registry.register("evacuated_data_centres", help, evacuated.clone());
         // The histograms come last: collectors that cut off long texts then lose nothing else.
         let new_latency: fn() -> Histogram = || Histogram::new(LATENCY_BUCKETS);
         let latency = Family::new_with_constructor(new_latency);
@@ -179,6 +183,7 @@
             store_failures,
             config_version,
             servers,
+            evacuated,
         }
     }
 
@@ -275,6 +280,11 @@
         self.servers.set(servers as i64);
     }
 
+    /// Sets the number of evacuated data centres.
+    pub(crate) fn set_evacuated(&self, count: usize) {
+        self.evacuated.set(count as i64);
+    }
+
     /// Encodes all metrics as text.
     pub(crate) fn render(&self) -> Result<String, fmt::Error> {
         let mut text = String::new();
--- a/crates/edge/src/pending.rs
+++ b/crates/edge/src/pending.rs
@@ -4,6 +4,7 @@
 //! without a probe, and that it is leaving without an answer of its own.
 
 use std::cell::RefCell;
+use std::time::Duration;
 
 use ggs_place::LoadSample;
 use tokio::sync::Notify;
@@ -27,10 +28,10 @@
 
 impl PendingUpdates {
     /// Adds the load that a server instance reported.
-    pub(crate) fn add_load(&self, instance: &str, sample: LoadSample) {
+    pub(crate) fn add_load(&self, instance: &str, sample: LoadSample, cold_left: Duration) {
         let mut body = self.body.borrow_mut();
         if body.loads.len() < MAX_ENTRIES_COUNT {
-            body.loads.push(LoadBody::new(instance, sample));
+            body.loads.push(LoadBody::new(instance, sample, cold_left));
             self.added.notify_one();
         }
     }
--- a/crates/edge/src/ports.rs
+++ b/crates/edge/src/ports.rs
@@ -93,6 +93,9 @@
     /// `None` if it does not say so.
     fn read_rest(&self, head: &ResponseHead) -> Option<Duration>;
 
+    /// Reads for how long a server stays cold; `None` if it does not say so.
+    fn read_cold(&self, headers: &HeaderMap) -> Option<Duration>;
+
     /// Whether a server says in its headers that it is leaving.
     fn says_leaving(&self, headers: &HeaderMap) -> bool;
 }
@@ -150,6 +153,15 @@
     pub cursor: FeedCursor,
 }
 
+/// What the operator wrote: configurations and evacuations, which lie in one table.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct OperatorPage {
+    /// Configurations, as the text that the operator wrote.
+    pub configs: FeedPage<Bytes>,
+    /// Data centres to whose servers nothing may be sent, by their names as keys.
+    pub evacuations: FeedPage<()>,
+}
+
 /// A server as it registered itself in the store.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServerRecord {
@@ -249,12 +261,12 @@
 /// A read with a cursor returns the changes since then. If there are none, it waits for one for at
 /// most `wait`. A read without a cursor returns all rows at once.
 pub trait FleetStore: Clone + 'static {
-    /// Reads configurations, as the text that the operator wrote.
+    /// Reads what the operator wrote.
     fn read_configs(
         &self,
         after: Option<FeedCursor>,
         wait: Duration,
-    ) -> impl Future<Output = Result<FeedPage<Bytes>, FleetError>>;
+    ) -> impl Future<Output = Result<OperatorPage, FleetError>>;
 
     /// Reads the servers that registered themselves.
     fn read_servers(
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -168,6 +168,9 @@
         return ProbeResult::Failed;
     }
     let load = core.wire.read_load(&head.headers);
+    if let Some(left) = core.wire.read_cold(&head.headers) {
+        core.note_cold(service, key, left);
+    }
     core.observe_probe_limit(&server.instance, &head.headers);
     core.observe_leaving(&server.instance, server.started_ms, &head.headers);
     core.observe_rest(service, key, server, &head);
--- a/crates/edge/src/servers.rs
+++ b/crates/edge/src/servers.rs
@@ -313,7 +313,11 @@
     let cursor_before = core.server_feed.cursor.get();
     let cursor = page.cursor;
     let mut changes = page.changes.clone();
-    changes.retain(|change| core.catalog.borrow().is_relevant(change));
+    let (limits_cold, now) = (core.limits_cold_servers(), core.clock.now());
+    changes.retain(|change| {
+        let catalog = core.catalog.borrow();
+        catalog.is_relevant(change) || limits_cold && catalog.turns_cold(change, now)
+    });
     core.apply_page(page);
     let Some(before) = cursor_before else {
         return;
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -84,6 +84,8 @@
     ServerResting = 313,
     /// The time is over for which servers wanted no requests.
     ServerRested = 314,
+    /// Operators evacuated data centres or took them back: their servers get nothing, or requests again.
+    EvacuationChanged = 315,
     /// A request failed with a verdict on whether it ran.
     RequestFailed = 400,
     /// A caller's connection failed, for example by a protocol error.
@@ -179,6 +181,7 @@
             | Self::CallerUnauthorized
             | Self::QuotaExceeded
             | Self::QuotaRestored
+            | Self::EvacuationChanged
             | Self::RequestReleased
             | Self::DocumentsFresh
             | Self::PlatformRecovered
--- a/crates/place/src/load_table.rs
+++ b/crates/place/src/load_table.rs
@@ -55,6 +55,9 @@
 /// Most requests remembered per server as sent after its latest load report.
 const MAX_UNREPORTED_COUNT: usize = 64;
 
+/// Differences between two statements on how long a server stays cold that do not matter.
+const COLD_PRECISION: Duration = Duration::from_millis(150);
+
 /// Most requests that may be sent at once to a server that limits requests, after a time without any.
 const MAX_SAVED_SENDS: f64 = 2.0;
 
@@ -79,6 +82,13 @@
     pub cold_until: Option<Moment>,
 }
 
+impl ListedServer {
+    /// Whether the server is still in the time after its start in which it is slow.
+    pub fn is_cold(&self, now: Moment) -> bool {
+        self.cold_until.is_some_and(|until| until > now)
+    }
+}
+
 /// Where servers are, relative to the gate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -200,6 +210,8 @@
     rests_until: Moment,
     /// `None` if the server does not limit requests.
     quota: Option<SendQuota>,
+    /// Applies while the server is cold; `None` if cold servers get as many requests as others.
+    cold_quota: Option<SendQuota>,
 }
 
 impl LoadEntry {
@@ -215,17 +227,30 @@
             avoid_until: Moment::ZERO,
             rests_until: Moment::ZERO,
             quota: None,
+            cold_quota: None,
         }
     }
 
-    /// Whether a request may be sent now, by the limit and the rest of the server.
+    /// The limit while the server is cold; `None` if it is not, or there is none.
+    fn cold_quota_at(&self, now: Moment) -> Option<SendQuota> {
+        self.cold_quota.filter(|_| self.server.is_cold(now))
+    }
+
+    /// Whether a request may be sent now, by the limits and the rest of the server.
     fn is_allowed(&self, now: Moment) -> bool {
-        self.rests_until <= now && self.quota.is_none_or(|quota| quota.allows(now))
+        self.rests_until <= now
+            && self.quota.is_none_or(|quota| quota.allows(now))
+            && self
+                .cold_quota_at(now)
+                .is_none_or(|quota| quota.allows(now))
     }
 
     /// Whether the server takes no request of this gate, by its limit or its rest.
     fn is_forbidden(&self, now: Moment) -> bool {
-        self.rests_until > now || self.quota.is_some_and(|quota| quota.per_second <= 0.0)
+        let forbids = |quota: SendQuota| quota.per_second <= 0.0;
+        self.rests_until > now
+            || self.quota.is_some_and(forbids)
+            || self.cold_quota_at(now).is_some_and(forbids)
     }
 
     /// The failure rate at `now`, decayed since the last outcome. Failures before the end of a rest
@@ -441,14 +466,26 @@
 
     /// Sets how many requests per second this gate may send to a server; `None` if there is no limit.
     pub fn set_quota(&mut self, key: ServerKey, per_second: Option<f64>, now: Moment) {
-        let Some(entry) = self.entries.get_mut(&key) else {
-            return;
-        };
-        match (&mut entry.quota, per_second) {
-            (Some(quota), Some(per_second)) => quota.set_rate(per_second, now),
-            (quota, per_second) => {
-                *quota = per_second.map(|per_second| SendQuota::new(per_second, now));
-            }
+        if let Some(entry) = self.entries.get_mut(&key) {
+            set_quota_rate(&mut entry.quota, per_second, now);
+        }
+    }
+
+    /// Sets until when a server is cold; returns its instance, unless that is known.
+    pub fn set_cold(&mut self, key: ServerKey, until: Moment) -> Option<Arc<str>> {
+        let server = &mut self.entries.get_mut(&key)?.server;
+        if server.is_cold(until - COLD_PRECISION) {
+            return None;
+        }
+        server.cold_until = Some(until);
+        Some(Arc::clone(&server.instance))
+    }
+
+    /// Sets how many requests per second this gate may send to a server while it is cold; `None` if
+    /// there is no limit.
+    pub fn set_cold_quota(&mut self, key: ServerKey, per_second: Option<f64>, now: Moment) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            set_quota_rate(&mut entry.cold_quota, per_second, now);
         }
     }
 
@@ -531,6 +568,10 @@
             if let Some(quota) = &mut entry.quota {
                 quota.take(now);
             }
+            let is_cold = entry.server.is_cold(now);
+            if let Some(quota) = entry.cold_quota.as_mut().filter(|_| is_cold) {
+                quota.take(now);
+            }
         }
         self.note_sent(key, now);
     }
@@ -579,6 +620,16 @@
     }
 }
 
+/// Changes the rate of a quota, or begins or ends it.
+fn set_quota_rate(quota: &mut Option<SendQuota>, per_second: Option<f64>, now: Moment) {
+    match (quota.as_mut(), per_second) {
+        (Some(quota), Some(per_second)) => quota.set_rate(per_second, now),
+        (_, per_second) => {
+            *quota = per_second.map(|per_second| SendQuota::new(per_second, now));
+        }
+    }
+}
+
 /// Reduces `keys` to `count` random ones.
 fn draw(keys: &mut Vec<ServerKey>, count: usize, rng: &mut SmallRng) {
     let count = count.min(keys.len());
@@ -609,8 +660,11 @@
         1.0
     };
     let utilization = f64::from(load.running.min(slots)) / f64::from(slots) * UTILIZATION_PENALTY;
-    let cold = entry.server.cold_until.is_some_and(|until| until > now);
-    let cold = if cold { COLD_PENALTY } else { 0.0 };
+    let cold = if entry.server.is_cold(now) {
+        COLD_PENALTY
+    } else {
+        0.0
+    };
     let slowdown = f64::from(load.pace_percent) / 100.0
         * saturation_slowdown
         * (1.0 + utilization)
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -9,8 +9,10 @@
 //! [`Moment`](ggs_model::Moment).
 
 mod detours;
+mod evacuations;
 mod run;
 mod server_reach;
 
 pub use detours::{DetourGate, DetourTable};
+pub use evacuations::{EvacuationNews, EvacuationTable, FeedPosition, RESTORE_GRACE};
 pub use server_reach::{ReachEvent, ReachState, ServerReach};
