--- a/crates/edge/src/cold.rs
+++ b/crates/edge/src/cold.rs
@@ -3,7 +3,8 @@
 //! A server that has just started, or says that it is cold again, crashes under more than a few requests
 //! per second. All requests to it leave from one gate of its data centre, as for servers that name a
 //! limit: gates that pick the same server at the same moment would exceed it together. Two gates may
-//! choose differently until a lease has expired; gates of other data centres send nothing.
+//! choose differently until a lease has expired; gates of other data centres, and those that do not know
+//! the others yet, send nothing.
 
 use std::time::Duration;
 
@@ -70,7 +71,7 @@
         let rate = self.cold_rate(&service.name);
         let mut table = service.table.borrow_mut();
         let near = table.server(key).is_some_and(|server| server.near);
-        let sends = near && self.sends_limited(instance);
+        let sends = near && self.is_settled(now) && self.sends_limited(instance);
         let rate = rate.map(|rate| if sends { rate } else { 0.0 });
         table.set_cold_quota(key, rate, now);
     }
--- a/crates/edge/src/gates.rs
+++ b/crates/edge/src/gates.rs
@@ -379,6 +379,7 @@
     S: 'static,
 {
     let datagram = Datagram::decode(bytes).map_err(|error| error.to_string())?;
+    core.note_heard(sender);
     if let Some(quota) = &datagram.quota {
         core.apply_quota(quota, sender);
     }
--- a/crates/edge/src/quota/exchange.rs
+++ b/crates/edge/src/quota/exchange.rs
@@ -11,9 +11,7 @@
 
 use foldhash::HashMap;
 use ggs_access::Workspace;
-use ggs_limit::{
-    HolderCandidate, HolderTable, LedgerView, QuotaAsk, QuotaBounds, QuotaGrant, QuotaRule,
-};
+use ggs_limit::{HolderCandidate, LedgerView, QuotaAsk, QuotaBounds, QuotaGrant, QuotaRule};
 use ggs_member::PeerLiveness;
 use ggs_model::{Clock, Moment};
 use ggs_observe::LogEvent;
@@ -25,6 +23,7 @@
 use super::{FAILED_PAUSE, StockEntry};
 use crate::core::EdgeCore;
 use crate::datagrams::{Datagram, QuotaAskBody, QuotaBody, QuotaGrantBody};
+use crate::gates::own_heartbeat;
 
 /// Time in which a gate answers a question. It covers a host whose processor share is used up.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(55);
@@ -38,14 +37,23 @@
 /// Most gates that a question passes through.
 const MAX_HOPS: u32 = 2;
 
-/// Time after its start, or after a suspension, in which a gate holds no quotas: it learns of the other
-/// gates first.
+/// Time after its start, or after a suspension, in which a gate holds no quotas and sends nothing to cold
+/// servers: it learns of the other gates first.
 const SETTLE_TIME: Duration = Duration::from_millis(700);
 
 /// Time for which a gate that has granted a part of a quota keeps asking other data centres for a sign
 /// of life.
 const USED_TIME: Duration = Duration::from_secs(20);
 
+/// Time after it granted in place of a silent gate in which a gate keeps asking for that one.
+const BLIND_TIME: Duration = Duration::from_secs(2);
+
+/// Time in which a new holder makes itself known again, as datagrams may be lost.
+const ANNOUNCE_TIME: Duration = Duration::from_millis(1_200);
+
+/// Gates that a new holder makes itself known to.
+const ANNOUNCED_COUNT: usize = 3;
+
 /// Window of a quota if the settings do not state it.
 const DEFAULT_BOUNDS: QuotaBounds = QuotaBounds {
     window: Duration::from_secs(5),
@@ -84,15 +92,19 @@
         self.settings().bounds.quota.unwrap_or(DEFAULT_BOUNDS)
     }
 
-    /// The gates that may hold quotas: all known ones but those of the data centre that have stopped.
+    /// The gates that may hold quotas; those of the data centre that have stopped count as silent.
     fn holder_candidates(&self) -> Vec<HolderCandidate> {
         let now = self.clock.now();
         let gates = self.gates.borrow();
-        let gone = gates.views(now);
-        let gone = gone.filter(|view| view.liveness != PeerLiveness::Live);
-        let gone: Vec<_> = gone.map(|view| view.record.peers).collect();
+        let mut holders = self.quota.holders.borrow_mut();
+        for view in gates.views(now) {
+            match view.liveness {
+                PeerLiveness::Live => {}
+                PeerLiveness::Draining => holders.note_unable(view.record.peers, now),
+                _ => holders.note_silent(view.record.peers, now),
+            }
+        }
         let mut candidates = self.contacts.borrow().holder_candidates();
-        candidates.retain(|gate| !gone.contains(&gate.address));
         let own = self.settings().listen_gates;
         if !candidates.iter().any(|gate| gate.address == own) {
             candidates.push(HolderCandidate {
@@ -105,9 +117,13 @@
 
     /// Whether this gate may hold quotas.
     fn can_hold(&self, now: Moment) -> bool {
+        self.is_settled(now) && !self.is_draining()
+    }
+
+    /// Whether this gate has run long enough, since its start or a suspension, to know the other gates.
+    pub(crate) fn is_settled(&self, now: Moment) -> bool {
         let runs_since = self.quota.ledger.borrow_mut().runs_since(now);
-        let is_settled = now.since(runs_since) >= SETTLE_TIME;
-        is_settled && self.contacts.borrow().knows_gates() && !self.is_draining()
+        now.since(runs_since) >= SETTLE_TIME && self.contacts.borrow().knows_gates()
     }
 
     /// Grants a part of a quota from the account of this gate.
@@ -119,16 +135,43 @@
         ask: &QuotaAsk,
     ) -> QuotaGrant {
         let now = self.clock.now();
-        let preferred = HolderTable::preferred(name, &self.holder_candidates());
+        let candidates = self.holder_candidates();
+        let own = self.settings().listen_gates;
+        let standing = self.quota.holders.borrow().standing(name, &candidates, own);
         let view = LedgerView {
             reach: self.granted_fraction(now),
-            is_standby: preferred != Some(self.settings().listen_gates),
+            standing,
         };
+        if !self.quota.ledger.borrow().has_account(name) {
+            self.announce_holder(name, &candidates);
+        }
         let bounds = self.quota_bounds();
         let mut ledger = self.quota.ledger.borrow_mut();
         ledger.grant(name, rule, &bounds, gate, ask, &view, now)
     }
 
+    /// Makes this gate known to those that would hold a quota in its place, as gates of other data
+    /// centres may not have heard of it.
+    fn announce_holder(&self, name: &str, candidates: &[HolderCandidate]) {
+        let own = self.settings().listen_gates;
+        let mut others = candidates.to_vec();
+        others.retain(|gate| gate.address != own);
+        let bytes = own_heartbeat(self).encode_to_vec();
+        for _ in 0..ANNOUNCED_COUNT {
+            let next = self
+                .quota
+                .holders
+                .borrow()
+                .choose(name, &others, self.clock.now());
+            let Some(next) = next else { return };
+            others.retain(|gate| gate.address != next);
+            if let Some(socket) = &*self.quota.socket.borrow() {
+                // A datagram that cannot be sent at once is treated like a lost one.
+                let _lost = socket.try_send_to(&bytes, next);
+            }
+        }
+    }
+
     /// Fraction of a quota that this gate grants, by how much of the fleet it reaches. Half of what the
     /// quotas may be exceeded by makes up for gates that have ended and are not forgotten yet.
     fn granted_fraction(&self, now: Moment) -> f64 {
@@ -137,6 +180,11 @@
         (reach * allowance).min(1.0)
     }
 
+    /// Notes a datagram of another gate, which is not silent then.
+    pub(crate) fn note_heard(&self, sender: SocketAddr) {
+        self.quota.holders.borrow_mut().note_heard(sender);
+    }
+
     /// The quota of a workspace by the configuration in force; `None` if the workspace is not known.
     fn quota_of(&self, name: &str) -> Option<Option<QuotaRule>> {
         let routes = self.routes()?;
@@ -226,7 +274,6 @@
         S: 'static,
     {
         let now = self.clock.now();
-        self.quota.holders.borrow_mut().note_heard(sender);
         let data_centre = self.contacts.borrow().data_centre_of(sender);
         if let Some(data_centre) = data_centre {
             let (live, known) = (body.live as usize, body.known as usize);
@@ -333,7 +380,8 @@
             reach.note_known(data_centre, peers.len());
         }
         drop(reach);
-        let mut asked = self.quota.holders.borrow_mut().due_retries(now);
+        let stands_in = self.quota.ledger.borrow().is_blind(BLIND_TIME, now);
+        let mut asked = self.quota.holders.borrow_mut().due_retries(stands_in, now);
         if self.quota.ledger.borrow().is_used(USED_TIME, now) {
             let others = others.iter();
             asked.extend(others.filter_map(|(_, peers)| peers.iter().choose(&mut rand::rng())));
@@ -363,13 +411,20 @@
     }
 }
 
-/// Does what is due from time to time while there are quotas.
+/// Does what is due from time to time for quotas.
 pub(crate) fn tick_quotas<W, S>(core: &EdgeCore<W, S>, now: Moment) {
+    core.log_quota_changes(now);
     if !core.has_quotas() {
         return;
     }
     core.refresh_reach(now);
-    core.log_quota_changes(now);
+    let opened = core.quota.ledger.borrow().opened_within(ANNOUNCE_TIME, now);
+    if !opened.is_empty() {
+        let candidates = core.holder_candidates();
+        for name in opened {
+            core.announce_holder(&name, &candidates);
+        }
+    }
     core.quota.drop_idle_stocks(now);
 }
 
--- a/crates/limit/src/lib.rs
+++ b/crates/limit/src/lib.rs
@@ -29,8 +29,8 @@
 pub use chain_retries::{ChainPosition, ChainRetries};
 pub use fleet_retries::FleetRetries;
 pub use quota::{
-    FleetReach, HolderCandidate, HolderTable, LedgerChanges, LedgerView, QuotaAsk, QuotaBounds,
-    QuotaGrant, QuotaLedger, QuotaRule, QuotaStock, StockDecision,
+    FleetReach, HolderCandidate, HolderStanding, HolderTable, LedgerChanges, LedgerView, QuotaAsk,
+    QuotaBounds, QuotaGrant, QuotaLedger, QuotaRule, QuotaStock, StockDecision,
 };
 pub use server_limits::{LimitChange, LimitState, NamedLimit, ServerLimits};
 pub use server_rests::ServerRests;
--- a/crates/limit/src/quota/holders.rs
+++ b/crates/limit/src/quota/holders.rs
@@ -29,6 +29,17 @@
     pub capacity: u32,
 }
 
+/// What a gate is to a quota that it grants.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HolderStanding {
+    /// The holder.
+    Preferred,
+    /// It stands in for gates that say that they cannot hold the quota now.
+    Standby,
+    /// It stands in for gates that do not answer it, and that may still grant to others.
+    BlindStandby,
+}
+
 /// A gate that did not answer.
 #[derive(Clone, Copy, Debug)]
 struct SilentGate {
@@ -62,12 +73,35 @@
     /// The gate that holds the quota called `name`, by weighted rendezvous hashing over the gates that
     /// answer; `None` if there is none.
     pub fn choose(&self, name: &str, gates: &[HolderCandidate], now: Moment) -> Option<SocketAddr> {
-        first_of(name, gates, |address| self.answers(address, now))
+        let ranked = ranked(name, gates).into_iter();
+        let ranked = ranked.filter(|gate| self.answers(gate.address, now));
+        let first = ranked.min_by(|one, other| {
+            let order = one.rank.total_cmp(&other.rank);
+            order.then(one.address.cmp(&other.address))
+        });
+        first.map(|gate| gate.address)
     }
 
-    /// The gate that would hold the quota if all answered.
-    pub fn preferred(name: &str, gates: &[HolderCandidate]) -> Option<SocketAddr> {
-        first_of(name, gates, |_| true)
+    /// What a gate is to a quota, by the gates that come before it.
+    pub fn standing(
+        &self,
+        name: &str,
+        gates: &[HolderCandidate],
+        own: SocketAddr,
+    ) -> HolderStanding {
+        let ranks = ranked(name, gates);
+        let own_rank = ranks.iter().find(|ranked| ranked.address == own);
+        let Some(own_rank) = own_rank else {
+            return HolderStanding::BlindStandby;
+        };
+        let mut before = ranks.iter().filter(|ranked| *ranked < own_rank).peekable();
+        if before.peek().is_none() {
+            HolderStanding::Preferred
+        } else if before.any(|ranked| self.silent.contains_key(&ranked.address)) {
+            HolderStanding::BlindStandby
+        } else {
+            HolderStanding::Standby
+        }
     }
 
     /// Whether a gate is taken to answer.
@@ -98,15 +132,17 @@
         self.silent.remove(&address);
     }
 
-    /// The silent gates that have to be asked for a sign of life now.
-    pub fn due_retries(&mut self, now: Moment) -> Vec<SocketAddr> {
+    /// The silent gates that have to be asked for a sign of life now; a gate that stands in for one asks
+    /// often.
+    pub fn due_retries(&mut self, stands_in: bool, now: Moment) -> Vec<SocketAddr> {
+        let max_retry = if stands_in { FIRST_RETRY } else { MAX_RETRY };
         self.unable_until.retain(|_, until| *until > now);
         let due = self
             .silent
             .iter_mut()
-            .filter(|(_, gate)| gate.retry_at <= now);
+            .filter(|(_, gate)| stands_in || gate.retry_at <= now);
         let due = due.map(|(address, gate)| {
-            gate.retry_after = (gate.retry_after * 2).min(MAX_RETRY);
+            gate.retry_after = (gate.retry_after * 2).min(max_retry);
             gate.retry_at = now + gate.retry_after;
             *address
         });
@@ -114,21 +150,24 @@
     }
 }
 
-/// The first gate of those that `answers` accepts.
-fn first_of(
-    name: &str,
-    gates: &[HolderCandidate],
-    answers: impl Fn(SocketAddr) -> bool,
-) -> Option<SocketAddr> {
+/// A gate and its rank for a quota; the lowest is preferred.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+struct RankedGate {
+    rank: f64,
+    address: SocketAddr,
+}
+
+/// The ranks of gates for a quota.
+fn ranked(name: &str, gates: &[HolderCandidate]) -> Vec<RankedGate> {
     let state = FixedState::with_seed(RANK_SEED);
-    let ranked = gates.iter().filter(|gate| answers(gate.address));
-    let ranked = ranked.map(|gate| {
+    let ranked = gates.iter().map(|gate| {
         let hash = state.hash_one((name, gate.address));
         // An exponentially distributed rank, so that larger hosts come first more often.
         let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        let rank = -uniform.ln() / f64::from(gate.capacity.max(1));
-        (rank, gate.address)
+        RankedGate {
+            rank: -uniform.ln() / f64::from(gate.capacity.max(1)),
+            address: gate.address,
+        }
     });
-    let first = ranked.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
-    first.map(|(_, address)| address)
+    ranked.collect()
 }
--- a/crates/limit/src/quota/ledger.rs
+++ b/crates/limit/src/quota/ledger.rs
@@ -8,7 +8,7 @@
 use foldhash::{HashMap, HashMapExt, HashSet};
 use ggs_model::Moment;
 
-use super::{QuotaBounds, QuotaRule};
+use super::{HolderStanding, QuotaBounds, QuotaRule};
 
 /// Time in which the gates that ask for a quota, and the requests that were refused, are counted.
 const COUNT_PERIOD: Duration = Duration::from_millis(500);
@@ -16,9 +16,18 @@
 /// Time without a refusal after which a quota is no longer exceeded.
 const EXCEEDED_TIME: Duration = Duration::from_secs(2);
 
-/// Time without a question after which a standby no longer trusts its account: another gate may have
-/// been the holder in the meantime.
-const STANDBY_GAP: Duration = Duration::from_secs(1);
+/// Time without a question after which a standby no longer trusts its account, as another gate may have
+/// been the holder in the meantime: that of some requests of the quota, within a range.
+const STANDBY_GAP_REQUESTS: f64 = 8.0;
+const STANDBY_GAP_RANGE: (Duration, Duration) =
+    (Duration::from_millis(300), Duration::from_secs(1));
+
+/// Time in which both parts of a fleet that has parted notice it. A standby in the smaller part grants
+/// little until then, as the holder in the other part still grants all.
+const PARTED_TIME: Duration = Duration::from_millis(2_500);
+
+/// Fraction of a quota that such a standby grants.
+const BLIND_FRACTION: f64 = 0.1;
 
 /// Time without a question after which an account is closed. It has been full for long then.
 const ACCOUNT_TTL: Duration = Duration::from_mins(1);
@@ -65,8 +74,8 @@
 pub struct LedgerView {
     /// Fraction of the fleet that it reaches, from 0 to 1.
     pub reach: f64,
-    /// Whether it would not be the holder if others answered.
-    pub is_standby: bool,
+    /// What it is to the quota.
+    pub standing: HolderStanding,
 }
 
 /// The account of one quota: a token bucket with a token for each request.
@@ -74,6 +83,12 @@
 struct QuotaAccount {
     tokens: f64,
     counted_at: Moment,
+    /// Since when this gate has granted without a long pause.
+    opened_at: Moment,
+    /// When it last granted in place of a silent gate, and the least part of the fleet that it reached
+    /// since it began to.
+    blind_at: Option<Moment>,
+    blind_reach: f64,
     asked_at: Moment,
     /// Gates that have asked in this counting period.
     askers: HashSet<SocketAddr>,
@@ -92,6 +107,9 @@
         Self {
             tokens,
             counted_at: now,
+            opened_at: now,
+            blind_at: None,
+            blind_reach: 1.0,
             asked_at: now,
             askers: HashSet::default(),
             last_askers: 0,
@@ -110,6 +128,21 @@
         self.tokens = tokens.min(rule.capacity());
     }
 
+    /// Fraction of the quota that this gate grants.
+    fn fraction(&mut self, view: &LedgerView, now: Moment) -> f64 {
+        if view.standing != HolderStanding::BlindStandby {
+            self.blind_reach = 1.0;
+            return view.reach;
+        }
+        self.blind_at = Some(now);
+        // When a parted fleet joins again, the holder is reached again too, and is asked soon.
+        self.blind_reach = self.blind_reach.min(view.reach);
+        if now.since(self.opened_at) < PARTED_TIME {
+            return self.blind_reach.min(BLIND_FRACTION);
+        }
+        self.blind_reach
+    }
+
     /// Starts a new counting period if the present one is over.
     fn count_periods(&mut self, now: Moment) {
         if now < self.period_ends_at {
@@ -145,6 +178,12 @@
     }
 }
 
+/// Time without a question after which a standby no longer trusts its account.
+fn standby_gap(rule: &QuotaRule) -> Duration {
+    let seconds = STANDBY_GAP_REQUESTS / rule.per_second.max(f64::MIN_POSITIVE);
+    bounded_time(seconds, STANDBY_GAP_RANGE.0, STANDBY_GAP_RANGE.1)
+}
+
 /// A time in seconds, bounded.
 fn bounded_time(seconds: f64, min: Duration, max: Duration) -> Duration {
     let time = Duration::try_from_secs_f64(seconds).unwrap_or(max);
@@ -155,13 +194,13 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use ggs_limit::{LedgerView, QuotaAsk, QuotaBounds, QuotaLedger, QuotaRule};
+/// use ggs_limit::{HolderStanding, LedgerView, QuotaAsk, QuotaBounds, QuotaLedger, QuotaRule};
 /// use ggs_model::Moment;
 ///
 /// let bounds = QuotaBounds { window: Duration::from_secs(5), over: 0.1, slack: 6.0 };
 /// let mut ledger = QuotaLedger::new(Moment::ZERO);
 /// let rule = QuotaRule { per_second: 2.0, burst: 2.0 };
-/// let view = LedgerView { reach: 1.0, is_standby: false };
+/// let view = LedgerView { reach: 1.0, standing: HolderStanding::Preferred };
 /// let gate = "10.0.0.1:80".parse().unwrap();
 /// let ask = QuotaAsk { waiting: 3, ..QuotaAsk::default() };
 /// let mut grant = |now| ledger.grant("a", &rule, &bounds, gate, &ask, &view, now).granted;
@@ -216,7 +255,8 @@
     ) -> QuotaGrant {
         self.note_tick(now);
         let fresh_level = bounds.fresh_level(rule);
-        let knows_window = now.since(self.runs_since) >= bounds.window && !view.is_standby;
+        let is_standby = view.standing != HolderStanding::Preferred;
+        let knows_window = now.since(self.runs_since) >= bounds.window && !is_standby;
         if !self.accounts.contains_key(name) {
             // Whoever has been the holder for a whole window knows that nothing was granted in it.
             let tokens = if knows_window {
@@ -230,12 +270,14 @@
         let Some(account) = self.accounts.get_mut(name) else {
             return QuotaGrant::default();
         };
-        if view.is_standby && now.since(account.asked_at) >= STANDBY_GAP {
+        if is_standby && now.since(account.asked_at) >= standby_gap(rule) {
             account.tokens = account.tokens.min(fresh_level);
             account.counted_at = now;
+            account.opened_at = now;
         }
         account.asked_at = now;
-        account.refill(rule, view.reach, now);
+        let fraction = account.fraction(view, now);
+        account.refill(rule, fraction, now);
         account.count_periods(now);
         account.askers.insert(gate);
         let returned = f64::from(ask.returned);
@@ -294,6 +336,24 @@
         changes
     }
 
+    /// Quotas of which this gate has become the holder within `time`.
+    pub fn opened_within(&self, time: Duration, now: Moment) -> Vec<Arc<str>> {
+        let accounts = self.accounts.iter();
+        let opened = accounts.filter(|(_, account)| now.since(account.opened_at) < time);
+        opened.map(|(name, _)| Arc::clone(name)).collect()
+    }
+
+    /// Whether this gate has an account of a quota.
+    pub fn has_account(&self, name: &str) -> bool {
+        self.accounts.contains_key(name)
+    }
+
+    /// Whether this gate has stood in for a silent gate within `time`.
+    pub fn is_blind(&self, time: Duration, now: Moment) -> bool {
+        let mut accounts = self.accounts.values();
+        accounts.any(|account| account.blind_at.is_some_and(|at| now.since(at) < time))
+    }
+
     /// Whether this gate has granted a part of any quota within `time`.
     pub fn is_used(&self, time: Duration, now: Moment) -> bool {
         let mut accounts = self.accounts.values();
--- a/crates/limit/src/quota/mod.rs
+++ b/crates/limit/src/quota/mod.rs
@@ -11,7 +11,7 @@
 mod rule;
 mod stock;
 
-pub use holders::{HolderCandidate, HolderTable};
+pub use holders::{HolderCandidate, HolderStanding, HolderTable};
 pub use ledger::{LedgerChanges, LedgerView, QuotaAsk, QuotaGrant, QuotaLedger};
 pub use reach::FleetReach;
 pub use rule::{QuotaBounds, QuotaRule};
--- a/crates/limit/src/quota/rule.rs
+++ b/crates/limit/src/quota/rule.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-/// Changes of the holder in one window that the margin of a quota has to cover: the holder ends, a
-/// standby takes its place, and the holder comes back.
-const HOLDER_CHANGES_PER_WINDOW: f64 = 3.0;
+/// Parts of the margin of a quota: the holder ends, a standby takes its place, the holder comes back, and
+/// for a moment both grant.
+const MARGIN_PARTS: f64 = 4.0;
 
 /// Requests that may be sent, over all gates together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -50,11 +50,11 @@
     ///
     /// let bounds = QuotaBounds { window: Duration::from_secs(5), over: 0.1, slack: 20.0 };
     /// let rule = QuotaRule { per_second: 100.0, burst: 200.0 };
-    /// assert_eq!(bounds.fresh_level(&rule), 30.0);
+    /// assert_eq!(bounds.fresh_level(&rule), 22.5);
     /// assert_eq!(bounds.fresh_level(&QuotaRule { burst: 8.0, ..rule }), 8.0);
     /// ```
     pub fn fresh_level(&self, rule: &QuotaRule) -> f64 {
-        let level = self.margin(rule) / HOLDER_CHANGES_PER_WINDOW;
+        let level = self.margin(rule) / MARGIN_PARTS;
         level.min(rule.capacity())
     }
 }
