Leave gates that are gone out of those that try a quarantined request

Cause: the three gates that may try a request were cut from a list that names gates of which nothing was heard for up to five minutes, so none was left to try it.

Change: gates of the data centre whose leases have expired are left out before.

--- a/crates/edge/src/trial.rs
+++ b/crates/edge/src/trial.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use ggs_member::PeerLiveness;
 use ggs_model::Clock;
 use ggs_observe::LogEvent;
 use ggs_quarantine::{
@@ -89,10 +90,13 @@
 }
 
 impl<W, S> EdgeCore<W, S> {
-    /// The gates that may try a request.
+    /// The gates that may try a request. Gates of the data centre that are gone are left out before the
+    /// list is cut, or none might be left to try it.
     fn trial_gates(&self, request: &EdgeRequest) -> Vec<SocketAddr> {
         let own = self.settings().listen_gates;
         let mut gates = self.contacts.borrow().all_peers();
+        let gone = self.gone_gates();
+        gates.retain(|gate| !gone.contains(gate));
         if !gates.contains(&own) {
             gates.push(own);
         }
@@ -101,6 +105,15 @@
         gates
     }
 
+    /// Datagram addresses of the gates of the data centre whose leases have expired.
+    fn gone_gates(&self) -> Vec<SocketAddr> {
+        let gates = self.gates.borrow();
+        let views = gates.views(self.clock.now());
+        let gone = views
+            .filter(|view| !matches!(view.liveness, PeerLiveness::Live | PeerLiveness::Draining));
+        gone.map(|view| view.record.peers).collect()
+    }
+
     /// Longest time to the next trial of a request, as far as this gate knows of failed ones.
     fn longest_trial_pause(&self, request: &EdgeRequest) -> Duration {
         let crashes = self.crashes.borrow();
