Take a status above 599 for a bad answer

Cause: the codec reads any three digits from 100 as a status, so an answer of a server in trouble with status 600 or 999 reached the caller as an answer. 000 to 199, other lengths, letters, signs and other versions were refused already.

Change: connections to servers refuse a head with a status above 599, for both programs. The request may have run, so a POST is not sent again and gets 502.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -65,6 +65,9 @@
     Flushed,
 }
 
+/// Highest status of an answer. The codec reads higher ones, but HTTP does not define them.
+const MAX_STATUS: u16 = 599;
+
 /// Longest part of a request's body that is copied into the buffer of a connection, in bytes.
 const MAX_BODY_PART_BYTES: usize = 32 << 10;
 
@@ -266,6 +269,7 @@
     /// Fails if the connection ends, or if the bytes received are not an HTTP answer.
     pub async fn read_head(&mut self) -> Result<ResponseHead, FailureKind> {
         match self.framed.next().await {
+            Some(Ok(head)) if head.status.as_u16() > MAX_STATUS => Err(FailureKind::BadAnswer),
             Some(Ok(head)) => Ok(head),
             Some(Err(actix_http::error::ParseError::Io(_))) | None => {
                 Err(FailureKind::ConnectionLost)
