Let requests that are late already give way while a quota is short

Change: the time that a caller states, against the longest of its route, shows how long it has waited; while a quota is short, a request that would be late is refused and the quota goes to one that can be in time. Requests wait a third of their objective for a holder that has just started, in place of an immediate 503.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use actix_http::ServiceConfig;
 use foldhash::{HashMap, HashMapExt};
@@ -19,7 +20,7 @@
 use ggs_quarantine::CrashTable;
 use ggs_reach::{EvacuationTable, ServerReach};
 use ggs_relay::{ConnectionOptions, ConnectionPool};
-use ggs_route::RouteTable;
+use ggs_route::{ActiveRoute, RouteTable};
 use rand::seq::IteratorRandom;
 use tokio::sync::Notify;
 
@@ -36,7 +37,7 @@
 
 /// Time without a tick of the peer table after which a gate concludes that its own process was
 /// suspended. It then withdraws no other gate for a whole lease.
-const SUSPEND_THRESHOLD: std::time::Duration = std::time::Duration::from_secs(1);
+const SUSPEND_THRESHOLD: Duration = Duration::from_secs(1);
 
 /// Fraction of the allowed load probes that the gates send. The rest is a reserve, so that all
 /// gates together stay within the limit while they differ in what they know of the fleet.
@@ -50,10 +51,10 @@
 
 /// Time after which an idle connection to a server is closed. Servers close idle connections after
 /// ten seconds or more.
-const IDLE_TIMEOUT: std::time::Duration = std::time::Duration::from_secs(8);
+const IDLE_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Longest time to open a connection to a server.
-const CONNECT_TIMEOUT: std::time::Duration = std::time::Duration::from_millis(120);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 
 /// Most connections to another gate for requests that it takes for this one.
 const MAX_GATE_CONNECTION_COUNT: usize = 128;
@@ -237,6 +238,15 @@
         service
     }
 
+    /// Usual processing time of the requests of a route, at the first of its services.
+    pub(crate) fn expected_work(&self, route: &ActiveRoute) -> Duration {
+        let rule = route.rule();
+        let first = rule.targets.first();
+        first.map_or(Duration::ZERO, |target| {
+            self.service(&target.service).work(rule).mean()
+        })
+    }
+
     /// Addresses of up to `count` servers of any service, drawn at random, without the one at `address`.
     pub(crate) fn sample_servers(&self, count: usize, address: SocketAddr) -> Vec<SocketAddr> {
         let instances = self.instances.borrow();
--- a/crates/edge/src/quota/mod.rs
+++ b/crates/edge/src/quota/mod.rs
@@ -15,9 +15,10 @@
 use ggs_access::Workspace;
 use ggs_limit::{FleetReach, HolderTable, QuotaLedger, QuotaRule, QuotaStock, StockDecision};
 use ggs_model::{BootClock, Clock, Moment};
+use ggs_route::ActiveRoute;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 pub(crate) use exchange::tick_quotas;
 use exchange::{PendingGrants, ask_holder};
@@ -25,11 +26,12 @@
 use crate::core::EdgeCore;
 use crate::ports::EdgeWire;
 
-/// Longest time for which a request waits for the holder of its quota.
-const MAX_WAIT: Duration = Duration::from_millis(400);
+/// Part of the objective of a request for which it may wait for the holder of its quota.
+const MAX_WAIT_DIVISOR: u32 = 3;
 
-/// Time for which a gate does not ask again after no holder answered.
-const FAILED_PAUSE: Duration = Duration::from_millis(200);
+/// Time for which a gate does not ask again after no holder answered. Gates that start together hold
+/// quotas soon.
+const FAILED_PAUSE: Duration = Duration::from_millis(60);
 
 /// Time without requests after which the stock of a workspace is dropped.
 const STOCK_TTL: Duration = Duration::from_secs(30);
@@ -148,10 +150,37 @@
     }
 }
 
+/// What matters of a request for its charge.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ChargeTerms {
+    /// Longest time to wait for the holder.
+    wait_until: Moment,
+    /// Whether its answer would come after the objective, counted from the caller's first attempt.
+    is_late: bool,
+}
+
+impl ChargeTerms {
+    /// The terms of a request on a route that arrived at `arrived_at`, states the time of `stated`, and
+    /// usually takes `work`.
+    pub(crate) fn new(
+        route: &ActiveRoute,
+        stated: Duration,
+        work: Duration,
+        arrived_at: Moment,
+    ) -> Self {
+        let objective = route.rule().objective;
+        Self {
+            wait_until: arrived_at + objective / MAX_WAIT_DIVISOR,
+            is_late: route.patience().waited(stated) + work > objective,
+        }
+    }
+}
+
 /// Charges a request to its workspace, if that has a quota.
 pub(crate) async fn charge<W, S>(
     core: &Rc<EdgeCore<W, S>>,
     workspace: Option<&Rc<Workspace>>,
+    terms: impl FnOnce() -> ChargeTerms,
 ) -> Result<QuotaCharge, QuotaRefusal>
 where
     W: EdgeWire,
@@ -163,7 +192,7 @@
     };
     let name = &workspace.name;
     let entry = core.quota.stock(name);
-    let charged = take(core, workspace, &rule, &entry).await;
+    let charged = take(core, workspace, &rule, &entry, terms()).await;
     core.metrics.count_charge(name, charged.is_ok());
     charged.map(|()| QuotaCharge {
         entry: Some(entry),
@@ -178,16 +207,14 @@
     workspace: &Rc<Workspace>,
     rule: &QuotaRule,
     entry: &Rc<StockEntry>,
+    terms: ChargeTerms,
 ) -> Result<(), QuotaRefusal>
 where
     W: EdgeWire,
     S: 'static,
 {
-    let now = core.clock.now();
-    if now < entry.alone_until.get() {
-        return take_spare(core, rule, entry);
-    }
-    let mut decision = entry.stock.borrow_mut().take(now);
+    let mut now = core.clock.now();
+    let mut decision = entry.stock.borrow_mut().take(terms.is_late, now);
     let _waiting = WaitGuard::start(entry);
     loop {
         // Created before the question is sent, so that it misses no answer.
@@ -203,28 +230,28 @@
             }
             StockDecision::Wait => {}
         }
-        let is_answered = timeout(MAX_WAIT, answered).await.is_ok();
-        let now = core.clock.now();
-        if !is_answered || now < entry.alone_until.get() {
-            return take_spare(core, rule, entry);
+        let is_answered = timeout(terms.wait_until.since(now), answered).await.is_ok();
+        now = core.clock.now();
+        let alone_until = entry.alone_until.get();
+        if !is_answered || now < alone_until {
+            if take_spare(core, rule, entry) {
+                return Ok(());
+            }
+            if alone_until > terms.wait_until || now >= terms.wait_until {
+                return Err(QuotaRefusal::NoHolder);
+            }
+            sleep(alone_until.since(now)).await;
+            now = core.clock.now();
         }
         decision = entry.stock.borrow_mut().retake(now);
     }
 }
 
 /// Takes one request from this gate's own share, as no holder answers.
-fn take_spare<W, S>(
-    core: &EdgeCore<W, S>,
-    rule: &QuotaRule,
-    entry: &StockEntry,
-) -> Result<(), QuotaRefusal> {
+fn take_spare<W, S>(core: &EdgeCore<W, S>, rule: &QuotaRule, entry: &StockEntry) -> bool {
     let gates = core.fleet_size();
     let mut stock = entry.stock.borrow_mut();
-    if stock.take_spare(rule, gates, core.clock.now()) {
-        Ok(())
-    } else {
-        Err(QuotaRefusal::NoHolder)
-    }
+    stock.take_spare(rule, gates, core.clock.now())
 }
 
 /// Counts a request as waiting until it is dropped, also if its caller leaves.
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -27,7 +27,7 @@
 use crate::detour::{RequestEnd, add_answering_server, send_through_gates};
 use crate::placement::place_request;
 use crate::ports::EdgeWire;
-use crate::quota::{self, QuotaCharge, QuotaRefusal};
+use crate::quota::{self, ChargeTerms, QuotaCharge, QuotaRefusal};
 use crate::request::{
     EdgeRequest, RequestFault, RequestOrigin, end_to_end_headers, read_body, requested_time,
 };
@@ -130,21 +130,26 @@
     let route = route.ok_or(LocalAnswer::NoRoute)?;
     let names = core.wire.headers();
     let access = check_caller(core, &routes, &route, request)?;
-    let mut charge = quota::charge(core, access.workspace()).await?;
-    let time = requested_time(request.head(), &route, names).min(route.rule().timeout);
+    let stated = requested_time(request.head(), &route, names);
+    let terms = || {
+        let work = core.expected_work(&route);
+        ChargeTerms::new(&route, stated, work, arrived_at)
+    };
+    let mut charge = quota::charge(core, access.workspace(), terms).await?;
+    let time = stated.min(route.rule().timeout);
     let time_left = (arrived_at + time).since(core.clock.now());
     let limit = routes.limits().body_bytes;
     let body = read_body(request, limit, &core.body_budget, time_left).await?;
     // Use the newest configuration: another may have come into force while the body was read.
     let routes = core.routes().unwrap_or(routes);
-    let route = routes.find(&host, request.path()).map(Rc::clone);
-    let route = route.ok_or(LocalAnswer::NoRoute)?;
-    let access = check_caller(core, &routes, &route, request)?;
+    let newest = routes.find(&host, request.path()).map(Rc::clone);
+    let newest = newest.ok_or(LocalAnswer::NoRoute)?;
+    let access = check_caller(core, &routes, &newest, request)?;
     if !charge.is_for(access.workspace()) {
         // The key has moved to another workspace.
-        charge = quota::charge(core, access.workspace()).await?;
+        charge = quota::charge(core, access.workspace(), terms).await?;
     }
-    let request = EdgeRequest::new(request.head(), body, &route, access, names, arrived_at);
+    let request = EdgeRequest::new(request.head(), body, &newest, access, names, arrived_at);
     Ok(Prepared {
         routes,
         request,
--- a/crates/limit/src/quota/holders.rs
+++ b/crates/limit/src/quota/holders.rs
@@ -18,7 +18,7 @@
 const MAX_RETRY: Duration = Duration::from_secs(8);
 
 /// Time for which a gate that cannot hold quotas is passed over: it stops, or it has just started.
-const UNABLE_TIME: Duration = Duration::from_millis(400);
+const UNABLE_TIME: Duration = Duration::from_millis(150);
 
 /// A gate that may hold quotas.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/limit/src/quota/ledger.rs
+++ b/crates/limit/src/quota/ledger.rs
@@ -197,7 +197,7 @@
 /// use ggs_limit::{HolderStanding, LedgerView, QuotaAsk, QuotaBounds, QuotaLedger, QuotaRule};
 /// use ggs_model::Moment;
 ///
-/// let bounds = QuotaBounds { window: Duration::from_secs(5), over: 0.1, slack: 6.0 };
+/// let bounds = QuotaBounds { window: Duration::from_secs(5), over: 0.1, slack: 10.0 };
 /// let mut ledger = QuotaLedger::new(Moment::ZERO);
 /// let rule = QuotaRule { per_second: 2.0, burst: 2.0 };
 /// let view = LedgerView { reach: 1.0, standing: HolderStanding::Preferred };
--- a/crates/limit/src/quota/stock.rs
+++ b/crates/limit/src/quota/stock.rs
@@ -14,6 +14,9 @@
 /// Time for which a gate asks ahead.
 const ASK_AHEAD: Duration = Duration::from_millis(250);
 
+/// Time after a grant that was short of what was wanted for which the quota counts as short.
+const SHORT_TIME: Duration = Duration::from_secs(1);
+
 /// Time over which the rate of requests is averaged.
 const DEMAND_TIME: f64 = 1.0;
 
@@ -39,14 +42,14 @@
 ///
 /// let (now, holder) = (Moment::ZERO, "10.0.0.1:80".parse().unwrap());
 /// let mut stock = QuotaStock::new(0.0);
-/// assert_eq!(stock.take(now), StockDecision::Ask);
+/// assert_eq!(stock.take(false, now), StockDecision::Ask);
 /// stock.join();
 /// assert_eq!(stock.start_ask(holder, now).waiting, 1);
 /// let pause = Duration::from_millis(50);
 /// stock.end_ask(&QuotaGrant { granted: 1, pause, retry_after: 2 * pause }, now);
 /// assert_eq!(stock.retake(now), StockDecision::Granted);
 /// stock.leave();
-/// assert_eq!(stock.take(now), StockDecision::Refused(2 * pause));
+/// assert_eq!(stock.take(false, now), StockDecision::Refused(2 * pause));
 /// ```
 #[derive(Clone, Debug)]
 pub struct QuotaStock {
@@ -56,6 +59,8 @@
     /// Tokens that expired and are to be returned to the gate that granted them.
     unused: u32,
     refused_until: Moment,
+    /// Until when the quota counts as short.
+    short_until: Moment,
     retry_after: Duration,
     /// Requests that were refused since the last question.
     refused: u32,
@@ -80,6 +85,7 @@
             granted_by: None,
             unused: 0,
             refused_until: Moment::ZERO,
+            short_until: Moment::ZERO,
             retry_after: Duration::ZERO,
             refused: 0,
             waiting: 0,
@@ -91,8 +97,13 @@
         }
     }
 
-    /// Decides on a request that has just arrived.
-    pub fn take(&mut self, now: Moment) -> StockDecision {
+    /// Decides on a request that has just arrived. One whose answer would come `late` is refused while the
+    /// quota is short, as another can be answered in time instead.
+    pub fn take(&mut self, late: bool, now: Moment) -> StockDecision {
+        if late && now < self.short_until {
+            self.refused += 1;
+            return StockDecision::Refused(self.retry_after);
+        }
         self.note_demand(now);
         self.retake(now)
     }
@@ -150,6 +161,9 @@
         self.tokens += grant.granted;
         self.expires_at = now + GRANT_TTL;
         self.refused_until = now + grant.pause;
+        if !grant.pause.is_zero() {
+            self.short_until = now + SHORT_TIME;
+        }
         self.retry_after = grant.retry_after;
     }
 
--- a/crates/limit/tests/quota_fleet.rs
+++ b/crates/limit/tests/quota_fleet.rs
@@ -272,7 +272,7 @@
         if now < self.gates[gate].alone_until {
             return self.gates[gate].stock.take_spare(&rule, count, now);
         }
-        let mut decision = self.gates[gate].stock.take(now);
+        let mut decision = self.gates[gate].stock.take(false, now);
         self.gates[gate].stock.join();
         if decision == StockDecision::Ask {
             let grant = (0..3).find_map(|_| {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -11,13 +11,14 @@
 use ggs_access::{AccessError, AccessTable};
 use ggs_model::ServiceName;
 
-use crate::{CallerLimits, RouteConfig, RouteRule, ServiceRule, WeightedSplit};
+use crate::{CallerLimits, CallerPatience, RouteConfig, RouteRule, ServiceRule, WeightedSplit};
 
 /// A route of the table, with the state of its split over services.
 #[derive(Debug)]
 pub struct ActiveRoute {
     rule: RouteRule,
     split: RefCell<WeightedSplit>,
+    patience: CallerPatience,
 }
 
 impl ActiveRoute {
@@ -27,6 +28,7 @@
         Self {
             rule,
             split: RefCell::new(WeightedSplit::new(&weights, phase)),
+            patience: CallerPatience::default(),
         }
     }
 
@@ -35,6 +37,11 @@
         &self.rule
     }
 
+    /// How long the callers of the route usually wait.
+    pub fn patience(&self) -> &CallerPatience {
+        &self.patience
+    }
+
     /// The service that takes the next request; `None` if the route has no targets.
     pub fn next_service(&self) -> Option<&ServiceName> {
         let index = self.split.borrow_mut().next_index();
