Leave retries and last free slots to urgent requests while a service lacks room

Cause: when servers turn away half of what reaches them, retries go to whoever comes first; a bucket of one token loses part of each token, so a large fleet could not spend its budget.

Change: each gate gauges how often a service lacks room; while it does, requests that are less urgent than others of the service retry only from a full bucket, and where slots are short they take no server's last free one, but for three in ten. Gates of a large fleet save up 1.5 retries.

--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -424,6 +424,9 @@
         let gates = self.fleet_size();
         let bounds = &self.settings().bounds;
         let routes = self.routes();
+        if let Some(routes) = &routes {
+            self.refresh_urgency(routes);
+        }
         let mut shares = Vec::new();
         for (name, service) in self.services.borrow().iter() {
             let mut retries = service.retries.borrow_mut();
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -46,6 +46,7 @@
 mod reach;
 mod request;
 mod rest;
+mod scarcity;
 mod serve;
 mod servers;
 mod service;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -50,6 +50,12 @@
     outcome: &'static str,
 }
 
+/// Labels of what is counted for each service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ServiceLabels {
+    service: String,
+}
+
 /// Labels of requests with a quota.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ChargeLabels {
@@ -94,6 +100,7 @@
     config_version: Gauge,
     servers: Gauge,
     evacuated: Gauge,
+    yields: Family<ServiceLabels, Counter>,
     /// Workspaces that have counters of their own.
     counted: RefCell<HashSet<Arc<str>>>,
 }
@@ -160,6 +167,9 @@
         let evacuated = Gauge::default();
         let help = "Data centres to whose servers nothing is sent";
         registry.register("evacuated_data_centres", help, evacuated.clone());
+        let yields = Family::default();
+        let help = "Decisions in which a request gave way to more urgent ones of its service";
+        registry.register("yields", help, yields.clone());
         // The histograms come last: collectors that cut off long texts then lose nothing else.
         let new_latency: fn() -> Histogram = || Histogram::new(LATENCY_BUCKETS);
         let latency = Family::new_with_constructor(new_latency);
@@ -184,6 +194,7 @@
             config_version,
             servers,
             evacuated,
+            yields,
         }
     }
 
@@ -280,6 +291,14 @@
         self.servers.set(servers as i64);
     }
 
+    /// Counts a decision in which a request gave way to more urgent ones.
+    pub(crate) fn count_yield(&self, service: &str) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.yields.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of evacuated data centres.
     pub(crate) fn set_evacuated(&self, count: usize) {
         self.evacuated.set(count as i64);
--- a/crates/edge/src/placement.rs
+++ b/crates/edge/src/placement.rs
@@ -55,13 +55,14 @@
 
 /// Finds a server for a request; servers in `tried` are left out.
 ///
-/// `path` is the health path of the service; without one no server is probed.
+/// `gives_way` says that more urgent requests need the room that is left. `path` is the health path of the service; without one no server is probed.
 pub(crate) async fn place_request<W, S>(
     core: &Rc<EdgeCore<W, S>>,
     service: &Rc<ServiceState>,
     request: &EdgeRequest,
     path: Option<&Uri>,
     tried: &[ServerKey],
+    gives_way: bool,
 ) -> Result<Placement, PlacementRefusal>
 where
     W: EdgeWire,
@@ -90,6 +91,7 @@
             held: now.since(request.read_at),
             time_left: request.answer_by.since(now),
             rest_left: service.table.borrow().rest_left(now),
+            gives_way,
             stage,
         };
         match decide_placement(&input) {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -12,7 +12,7 @@
 use actix_http::header::HOST;
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode, Uri};
 use ggs_model::{Clock, Moment, RunVerdict};
-use ggs_place::{Placement, ServerKey};
+use ggs_place::{Placement, RoomGauge, ServerKey};
 use ggs_quarantine::TrialEnd;
 use ggs_reach::{ReachEvent, ReachState};
 use ggs_relay::FailureKind;
@@ -240,6 +240,28 @@
     gates_declined: bool,
     /// The last error answer of a server, which is forwarded if no retry brings another answer.
     error_answer: Option<(EdgeAnswer, SendGuard)>,
+    /// Whether it gives way to no other request.
+    insists: bool,
+}
+
+impl RelayState {
+    /// The state of a request that has not been sent.
+    fn new() -> Self {
+        Self {
+            insists: RoomGauge::insists(rand::random()),
+            ..Self::default()
+        }
+    }
+
+    /// Whether the request gives way to more urgent ones of its service.
+    fn gives_way<W, S>(
+        &self,
+        core: &EdgeCore<W, S>,
+        service: &ServiceState,
+        request: &EdgeRequest,
+    ) -> bool {
+        !self.insists && core.leaves_slots(service, request)
+    }
 }
 
 /// Sends a request to servers until there is a final answer, or through another gate if this one does
@@ -266,7 +288,7 @@
     }
     let rule = routes.service(name.as_str());
     let health_path = rule.and_then(|rule| rule.health_path.parse::<Uri>().ok());
-    let mut state = RelayState::default();
+    let mut state = RelayState::new();
     let trial = match start_trial(core, &service, request).await {
         TrialStart::Unneeded => None,
         TrialStart::Here(trial) => Some(trial),
@@ -290,19 +312,15 @@
             return end;
         }
         if reach == ReachState::Cut {
-            span.log_unreachable(&service);
-            let answers = if state.arrivals == 0 {
-                NOT_REACHED
-            } else {
-                NO_SERVER
-            };
-            return end_failed(state, request, answers, core.trial_period(&service));
+            return end_unreached(core, &service, state, request, span);
         }
-        let found =
-            place_request(core, &service, request, health_path.as_ref(), &state.tried).await;
+        let gives_way = state.gives_way(core, &service, request);
+        let path = health_path.as_ref();
+        let found = place_request(core, &service, request, path, &state.tried, gives_way).await;
         let placement = match found {
             Ok(placement) => placement,
             Err(refusal) => {
+                core.note_no_slot(&service);
                 span.log_refusal(&service, &refusal);
                 return end_failed(state, request, NO_SERVER, refusal.retry_after);
             }
@@ -318,7 +336,7 @@
         {
             return end;
         }
-        if !take_retry(&service, &state) {
+        if !take_retry(core, &service, request, &state) {
             span.log_retry_denied(&service);
             return end_failed(state, request, NO_SERVER, FAILED_RETRY_AFTER);
         }
@@ -326,6 +344,7 @@
         let sent = send_once(core, &service, request, &placement, trial.as_ref()).await;
         let failure = match sent {
             Ok((answer, guard)) => {
+                core.note_taken(&service);
                 if !should_retry_error(&answer, request, &state, &service) {
                     return forward_answer(answer, Some(guard), request);
                 }
@@ -339,6 +358,9 @@
             Err(failure) => failure,
         };
         span.log_failed_send(&service, &placement, failure.kind);
+        if failure.kind == FailureKind::Refused {
+            core.note_turned_away(&service);
+        }
         state.tried.push(placement.server);
         state.arrivals += u32::from(failure.arrived);
         state.unopened += u32::from(failure.kind == FailureKind::ConnectFailed);
@@ -395,6 +417,26 @@
     result
 }
 
+/// The end of a request whose servers neither this gate nor another reaches.
+fn end_unreached<W, S>(
+    core: &EdgeCore<W, S>,
+    service: &ServiceState,
+    state: RelayState,
+    request: &EdgeRequest,
+    span: &RequestSpan<'_, W, S>,
+) -> RequestEnd
+where
+    W: EdgeWire,
+{
+    span.log_unreachable(service);
+    let answers = if state.arrivals == 0 {
+        NOT_REACHED
+    } else {
+        NO_SERVER
+    };
+    end_failed(state, request, answers, core.trial_period(service))
+}
+
 /// The end of a request in quarantine that is not sent, `left` before its next trial.
 fn hold_request<W, S>(
     service: &ServiceState,
@@ -426,7 +468,7 @@
     if request.origin == RequestOrigin::Gate || state.gates_declined || !may_retry(state, request) {
         return None;
     }
-    if !take_retry(service, state) {
+    if !take_retry(core, service, request, state) {
         return None;
     }
     let attempts = request.route.rule().attempts.max(1) - state.arrivals;
@@ -451,9 +493,23 @@
 }
 
 /// Takes a retry from the budget if the next send is one: if an earlier one reached a server or may
-/// have.
-fn take_retry(service: &ServiceState, state: &RelayState) -> bool {
-    state.arrivals == 0 || service.retries.borrow_mut().take()
+/// have. While the service lacks room, less urgent requests get only what the urgent leave.
+fn take_retry<W, S>(
+    core: &EdgeCore<W, S>,
+    service: &ServiceState,
+    request: &EdgeRequest,
+    state: &RelayState,
+) -> bool {
+    if state.arrivals == 0 {
+        return true;
+    }
+    let leaves_retries = core.leaves_retries(service, request);
+    let mut retries = service.retries.borrow_mut();
+    if leaves_retries {
+        retries.take_surplus()
+    } else {
+        retries.take()
+    }
 }
 
 /// Whether a connection to a server is open that can carry a request.
--- a/crates/edge/src/service.rs
+++ b/crates/edge/src/service.rs
@@ -8,7 +8,7 @@
 use foldhash::{HashMap, HashMapExt};
 use ggs_limit::FleetRetries;
 use ggs_model::{Moment, ServiceName};
-use ggs_place::{LoadTable, WorkEstimate};
+use ggs_place::{LoadTable, RoomGauge, WorkEstimate};
 use ggs_reach::{DetourTable, ServerReach};
 use ggs_route::RouteRule;
 
@@ -25,6 +25,12 @@
     pub(crate) table: RefCell<LoadTable>,
     /// This gate's share of the service's retry budget.
     pub(crate) retries: RefCell<FleetRetries>,
+    /// How often its servers turn requests away or have no slot for them.
+    pub(crate) room: RefCell<RoomGauge>,
+    /// How often its servers have no slot for a request that would be answered in time.
+    pub(crate) slots: RefCell<RoomGauge>,
+    /// Priority of its most urgent requests, by the configuration; 0 is the highest.
+    pub(crate) most_urgent: Cell<u32>,
     /// Whether this gate reaches its servers.
     pub(crate) reach: RefCell<ServerReach>,
     /// When its servers are tried again, if this gate may not reach them.
@@ -44,6 +50,9 @@
             name,
             table: RefCell::new(LoadTable::new(rand::random())),
             retries: RefCell::new(retries),
+            room: RefCell::default(),
+            slots: RefCell::default(),
+            most_urgent: Cell::new(u32::MAX),
             reach: RefCell::default(),
             tried_again_at: Cell::new(Moment::ZERO),
             detours: RefCell::new(DetourTable::new(rand::random())),
--- a/crates/limit/src/fleet_retries.rs
+++ b/crates/limit/src/fleet_retries.rs
@@ -11,6 +11,19 @@
 /// with a full bucket, since it does not know what it spent before.
 const SLACK_FACTOR: f64 = 0.5;
 
+/// Part of the slack that the gates of a large fleet use together, each with less than one retry of it, and
+/// the most that one of them saves up. A bucket that holds no more than one token loses a part of each
+/// that it gains.
+const LARGE_FLEET_SLACK_FACTOR: f64 = 0.9;
+const LARGE_FLEET_CAPACITY: f64 = 1.5;
+
+/// Most tokens of a gate in a fleet of `gates`.
+fn capacity_of(slack: f64, gates: usize) -> f64 {
+    let share = slack / gates.max(1) as f64;
+    let large_fleet = (share * LARGE_FLEET_SLACK_FACTOR).clamp(1.0, LARGE_FLEET_CAPACITY);
+    (share * SLACK_FACTOR).max(large_fleet)
+}
+
 /// One gate's part of the fleet's retry budget for a service.
 ///
 /// In any window of time the retries of the fleet may number `ratio` times its requests, plus
@@ -42,17 +55,17 @@
     /// `ratio` is the number of retries for each request, `slack` the number of retries that the
     /// fleet may make beyond the ratio in any window. The bucket holds at least one token.
     pub fn new(ratio: f64, slack: f64, gates: usize) -> Self {
-        let capacity = slack * SLACK_FACTOR / gates.max(1) as f64;
+        let share = slack * SLACK_FACTOR / gates.max(1) as f64;
         Self {
             ratio: ratio * RATIO_FACTOR,
-            capacity: capacity.max(1.0),
-            tokens: capacity.max(1.0),
+            capacity: capacity_of(slack, gates),
+            tokens: share.max(1.0),
         }
     }
 
     /// Adjusts the bucket to a new slack or fleet size; tokens beyond the new capacity are lost.
     pub fn set_gates(&mut self, slack: f64, gates: usize) {
-        self.capacity = (slack * SLACK_FACTOR / gates.max(1) as f64).max(1.0);
+        self.capacity = capacity_of(slack, gates);
         self.tokens = self.tokens.min(self.capacity);
     }
 
@@ -66,6 +79,12 @@
         self.tokens >= 1.0
     }
 
+    /// Uses the budget for one retry if it would otherwise be lost, as the bucket is full; returns false if
+    /// it is not.
+    pub fn take_surplus(&mut self) -> bool {
+        self.tokens >= self.capacity && self.take()
+    }
+
     /// Uses the budget for one retry; returns false if none is left.
     pub fn take(&mut self) -> bool {
         if !self.has_token() {
--- a/crates/observe/src/event.rs
+++ b/crates/observe/src/event.rs
@@ -86,6 +86,8 @@
     ServerRested = 314,
     /// Operators evacuated data centres or took them back: their servers get nothing, or requests again.
     EvacuationChanged = 315,
+    /// A service began to lack room, so that less urgent requests give way, or has room again.
+    RoomChanged = 316,
     /// A request failed with a verdict on whether it ran.
     RequestFailed = 400,
     /// A caller's connection failed, for example by a protocol error.
@@ -182,6 +184,7 @@
             | Self::QuotaExceeded
             | Self::QuotaRestored
             | Self::EvacuationChanged
+            | Self::RoomChanged
             | Self::RequestReleased
             | Self::DocumentsFresh
             | Self::PlatformRecovered
--- a/crates/place/src/decision.rs
+++ b/crates/place/src/decision.rs
@@ -63,6 +63,8 @@
     pub time_left: Duration,
     /// Time until the first server wants requests again; `None` if one does now.
     pub rest_left: Option<Duration>,
+    /// Whether it gives way to more urgent requests, as the service lacks room.
+    pub gives_way: bool,
     /// Which servers have been probed.
     pub stage: ProbeStage,
 }
@@ -92,7 +94,8 @@
 ///    server that is expected to answer within the objective.
 /// 3. If there is none, the request waits for as long as a refusal still counts as prompt.
 /// 4. If all servers want rest, it waits only if that ends within the same time.
-/// 5. After that it goes to a server that is expected to answer late but before the deadline, and
+/// 5. A request that gives way takes no server's last free slot and queues nowhere.
+/// 6. After that it goes to a server that is expected to answer late but before the deadline, and
 ///    is refused if there is no such server.
 ///
 /// ```
@@ -108,6 +111,7 @@
 ///     held: second,
 ///     time_left: second,
 ///     rest_left: None,
+///     gives_way: false,
 ///     stage: ProbeStage::All,
 /// };
 /// assert!(matches!(decide_placement(&input), PlacementDecision::Refuse(_)));
@@ -117,7 +121,11 @@
         return decide_while_resting(input, rest);
     }
     let objective_limit = with_margin(input.objective.saturating_sub(input.held));
-    let best = input.best;
+    // The last free slot of a server, and its queue, are left to more urgent requests.
+    let best = input
+        .best
+        .filter(|best| !(input.gives_way && best.saturates));
+    let input = &PlacementInput { best, ..*input };
     let within = |percent: u32| {
         let limit = objective_limit.min(input.work * percent / 100 + input.far_cost);
         best.filter(|best| best.has_slot && best.expected <= limit)
--- a/crates/place/tests/load.rs
+++ b/crates/place/tests/load.rs
@@ -248,6 +248,7 @@
             held,
             time_left: DEADLINE.saturating_sub(held),
             rest_left: None,
+            gives_way: false,
             stage: request.stage,
         };
         match decide_placement(&input) {
--- a/crates/place/tests/rest.rs
+++ b/crates/place/tests/rest.rs
@@ -145,6 +145,7 @@
                 held: millis(case.held_ms),
                 time_left: millis(2_000),
                 rest_left: Some(millis(case.rest_ms)),
+                gives_way: false,
                 stage,
             };
             assert_eq!(decide_placement(&input), case.decision, "{}", case.name);
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -126,6 +126,11 @@
         self.hosts.keys().map(|host| &**host)
     }
 
+    /// All routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Rc<ActiveRoute>> {
+        self.hosts.values().flat_map(HashMap::values)
+    }
+
     /// The route of `host` with the longest prefix that matches `path`.
     ///
     /// A port in `host` is ignored, and so is its case.
