--- a/crates/edge/src/cold.rs
+++ b/crates/edge/src/cold.rs
@@ -15,6 +15,10 @@
 use crate::core::EdgeCore;
 use crate::service::ServiceState;
 
+/// Time after its start, or after a suspension, in which a gate sends nothing to cold servers. Within it the
+/// gates of a data centre have heard several heartbeats of one another, and agree on which of them sends.
+const SETTLE_TIME: Duration = Duration::from_millis(1_200);
+
 impl<W, S> EdgeCore<W, S> {
     /// Requests per second that a cold server of a service bears; `None` if it is only slow.
     fn cold_rate(&self, service: &ServiceName) -> Option<f64> {
@@ -72,7 +76,7 @@
         let rate = self.cold_rate(&service.name);
         let mut table = service.table.borrow_mut();
         let near = table.server(key).is_some_and(|server| server.near);
-        let sends = near && self.is_settled(now) && self.sends_limited(instance);
+        let sends = near && self.is_settled(SETTLE_TIME, now) && self.sends_limited(instance);
         let rate = rate.map(|rate| if sends { rate } else { 0.0 });
         table.set_cold_quota(key, rate, now);
     }
--- a/crates/edge/src/quota/exchange.rs
+++ b/crates/edge/src/quota/exchange.rs
@@ -37,9 +37,9 @@
 /// Most gates that a question passes through.
 const MAX_HOPS: u32 = 2;
 
-/// Time after its start, or after a suspension, in which a gate holds no quotas and sends nothing to cold
-/// servers: it learns of the other gates first.
-const SETTLE_TIME: Duration = Duration::from_millis(700);
+/// Time after its start, or after a suspension, in which a gate holds no quotas: it learns of most other
+/// gates first. Those that do not know one another yet pass on what they are asked.
+const SETTLE_TIME: Duration = Duration::from_millis(450);
 
 /// Time for which a gate that has granted a part of a quota keeps asking other data centres for a sign
 /// of life.
@@ -117,13 +117,13 @@
 
     /// Whether this gate may hold quotas.
     fn can_hold(&self, now: Moment) -> bool {
-        self.is_settled(now) && !self.is_draining()
+        self.is_settled(SETTLE_TIME, now) && !self.is_draining()
     }
 
-    /// Whether this gate has run long enough, since its start or a suspension, to know the other gates.
-    pub(crate) fn is_settled(&self, now: Moment) -> bool {
+    /// Whether this gate has run for `time`, since its start or a suspension, and has heard of others.
+    pub(crate) fn is_settled(&self, time: Duration, now: Moment) -> bool {
         let runs_since = self.quota.ledger.borrow_mut().runs_since(now);
-        now.since(runs_since) >= SETTLE_TIME && self.contacts.borrow().knows_gates()
+        now.since(runs_since) >= time && self.contacts.borrow().knows_gates()
     }
 
     /// Grants a part of a quota from the account of this gate.
