End refusals over quota when the excess ends

Cause: a holder told gates to pause for 2 s after each refusal, and a pause refuses requests, which the gates report: once exceeded, a quota stayed so.

Change: gates pause while the account has no token left or a request was not granted.

--- a/crates/limit/src/quota/ledger.rs
+++ b/crates/limit/src/quota/ledger.rs
@@ -289,7 +289,8 @@
         if refused > 0 {
             account.refused_at = Some(now);
         }
-        let is_short = granted < ask.waiting || account.is_exceeded(now);
+        // Past refusals do not count: a pause causes refusals, and must not keep itself up.
+        let is_short = granted < ask.waiting || account.tokens < 1.0;
         QuotaGrant {
             granted,
             pause: if is_short {
