--- a/crates/limit/tests/quota_fleet.rs
+++ b/crates/limit/tests/quota_fleet.rs
@@ -79,6 +79,8 @@
     loss: f64,
     rng: SmallRng,
     sent: Vec<Moment>,
+    /// Questions between gates.
+    asks: usize,
 }
 
 /// What happens to the fleet.
@@ -114,6 +116,7 @@
             loss,
             rng,
             sent: Vec::new(),
+            asks: 0,
         }
     }
 
@@ -254,6 +257,7 @@
         hops: u32,
         now: Moment,
     ) -> Option<QuotaGrant> {
+        self.asks += 1;
         if !self.answers(from, to, now) {
             self.gates[from].holders.note_silent(address_of(to), now);
             return None;
@@ -564,3 +568,119 @@
         prop_assert!(most <= allowed(&fleet.rule), "{most} of {}", allowed(&fleet.rule));
     }
 }
+
+/// A fault whose figures stand in `docs/design/tenants.md`.
+struct FigureCase {
+    name: &'static str,
+    fault: FleetFault,
+    loss: f64,
+    /// Least part of the quota of the five seconds from the fault on that is used.
+    least_used: f64,
+}
+
+#[test]
+fn faults_cost_a_bounded_part_of_the_quota() {
+    let cases = [
+        FigureCase {
+            name: "none",
+            fault: FleetFault::None,
+            loss: 0.0,
+            least_used: 0.95,
+        },
+        FigureCase {
+            name: "3% of datagrams lost",
+            fault: FleetFault::None,
+            loss: 0.03,
+            least_used: 0.9,
+        },
+        FigureCase {
+            name: "parted along a data centre",
+            fault: FleetFault::Part {
+                share: 0.3,
+                along_centre: true,
+            },
+            loss: 0.0,
+            least_used: 0.6,
+        },
+        FigureCase {
+            name: "parted in halves",
+            fault: FleetFault::Part {
+                share: 0.5,
+                along_centre: false,
+            },
+            loss: 0.0,
+            least_used: 0.6,
+        },
+        FigureCase {
+            name: "holder ends",
+            fault: FleetFault::HolderRestart,
+            loss: 0.0,
+            least_used: 0.3,
+        },
+        FigureCase {
+            name: "holder freezes and wakes",
+            fault: FleetFault::HolderFreeze,
+            loss: 0.0,
+            least_used: 0.3,
+        },
+        FigureCase {
+            name: "a third of the gates ends",
+            fault: FleetFault::Restart { share: 0.33 },
+            loss: 0.0,
+            least_used: 0.3,
+        },
+        FigureCase {
+            name: "all gates end",
+            fault: FleetFault::Restart { share: 1.0 },
+            loss: 0.0,
+            least_used: 0.3,
+        },
+    ];
+    for case in cases {
+        let (fleet, _) = play(&FleetCase {
+            gates: 116,
+            per_second: 100.0,
+            demand: 2.0,
+            spread: 1,
+            loss: case.loss,
+            fault: case.fault,
+            fault_time: Duration::from_secs(2),
+            seed: 3,
+        });
+        let most = most_in_window(&fleet.sent) as f64 / allowed(&fleet.rule);
+        let from = Moment::ZERO + START + Duration::from_secs(4);
+        let from_index = fleet.sent.partition_point(|at| *at < from);
+        let until_index = fleet.sent.partition_point(|at| *at < from + BOUNDS.window);
+        let quota = fleet.rule.per_second * BOUNDS.window.as_secs_f64();
+        let used = (until_index - from_index) as f64 / quota;
+        println!(
+            "{}: most {most:.2} of what is allowed, {used:.2} of the quota used",
+            case.name
+        );
+        assert!(most <= 1.0, "{}: {most}", case.name);
+        assert!(used >= case.least_used, "{}: {used}", case.name);
+    }
+}
+
+#[test]
+fn a_gate_asks_as_often_however_many_gates_there_are() {
+    for gates in [100, 300, 1_000] {
+        for (per_second, demand) in [(330.0, 0.6), (330.0, 7.0), (5.0, 0.6)] {
+            let (fleet, arrivals) = play(&FleetCase {
+                gates,
+                per_second,
+                demand,
+                spread: 1,
+                loss: 0.0,
+                fault: FleetFault::None,
+                fault_time: Duration::ZERO,
+                seed: 1,
+            });
+            let asks = fleet.asks as f64 / arrivals.len() as f64;
+            println!(
+                "{gates} gates, {per_second} a second, demand {demand}: {asks:.2} asks a request"
+            );
+            assert!(asks <= 1.05, "{gates} gates: {asks} asks a request");
+        }
+    }
+}
