--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -63,6 +63,12 @@
     outcome: &'static str,
 }
 
+/// Labels of what a gate holds of a quota.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WorkspaceLabels {
+    workspace: String,
+}
+
 /// Most workspaces that have counters of their own; the others are counted together.
 const MAX_COUNTED_WORKSPACES: usize = 256;
 
@@ -91,6 +97,7 @@
     rests: Counter,
     unauthorized: Family<CauseLabels, Counter>,
     charges: Family<ChargeLabels, Counter>,
+    quota_held: Family<WorkspaceLabels, Gauge>,
     detours: Family<OutcomeLabels, Counter>,
     taken: Family<StatusLabels, Counter>,
     trials: Family<OutcomeLabels, Counter>,
@@ -130,6 +137,9 @@
         let charges = Family::default();
         let help = "Requests with a quota by whether the quota allowed them";
         registry.register("quota_charges", help, charges.clone());
+        let quota_held = Family::default();
+        let help = "Requests that this gate may send of a quota without asking its holder";
+        registry.register("quota_held", help, quota_held.clone());
         let unauthorized = Family::default();
         let help = "Requests without a key that a workspace has";
         registry.register("unauthorized", help, unauthorized.clone());
@@ -184,6 +194,7 @@
             rests,
             unauthorized,
             charges,
+            quota_held,
             counted: RefCell::default(),
             detours,
             taken,
@@ -228,18 +239,29 @@
         self.rests.inc();
     }
 
-    /// Counts a request with a quota.
-    pub(crate) fn count_charge(&self, workspace: &Arc<str>, is_granted: bool) {
+    /// Label of a workspace. Only so many have one of their own.
+    fn workspace_label(&self, workspace: &Arc<str>) -> String {
         let mut counted = self.counted.borrow_mut();
         let has_counter = counted.len() < MAX_COUNTED_WORKSPACES || counted.contains(&**workspace);
-        let name = if has_counter {
-            counted.insert(Arc::clone(workspace));
-            workspace
-        } else {
-            OTHER_WORKSPACES
+        if !has_counter {
+            return OTHER_WORKSPACES.to_owned();
+        }
+        counted.insert(Arc::clone(workspace));
+        workspace.to_string()
+    }
+
+    /// Sets the requests that this gate may still send of a quota without asking its holder.
+    pub(crate) fn set_quota_held(&self, workspace: &Arc<str>, requests: u32) {
+        let labels = WorkspaceLabels {
+            workspace: self.workspace_label(workspace),
         };
+        self.quota_held.get_or_create(&labels).set(requests.into());
+    }
+
+    /// Counts a request with a quota.
+    pub(crate) fn count_charge(&self, workspace: &Arc<str>, is_granted: bool) {
         let labels = ChargeLabels {
-            workspace: name.to_owned(),
+            workspace: self.workspace_label(workspace),
             outcome: if is_granted { "charged" } else { "refused" },
         };
         self.charges.get_or_create(&labels).inc();
--- a/crates/edge/src/quota/exchange.rs
+++ b/crates/edge/src/quota/exchange.rs
@@ -423,6 +423,7 @@
             core.announce_holder(&name, &candidates);
         }
     }
+    core.quota.export_stocks(&core.metrics, now);
     core.quota.drop_idle_stocks(now);
 }
 
--- a/crates/edge/src/quota/mod.rs
+++ b/crates/edge/src/quota/mod.rs
@@ -24,6 +24,7 @@
 use exchange::{PendingGrants, ask_holder};
 
 use crate::core::EdgeCore;
+use crate::metrics::EdgeMetrics;
 use crate::ports::EdgeWire;
 
 /// Part of the objective of a request for which it may wait for the holder of its quota.
@@ -89,6 +90,13 @@
         Rc::clone(entry)
     }
 
+    /// Shows in the metrics what this gate holds of each quota.
+    fn export_stocks(&self, metrics: &EdgeMetrics, now: Moment) {
+        for (name, entry) in self.stocks.borrow().iter() {
+            metrics.set_quota_held(name, entry.stock.borrow().tokens(now));
+        }
+    }
+
     /// Drops the stocks of workspaces that have sent nothing for long.
     fn drop_idle_stocks(&self, now: Moment) {
         let mut stocks = self.stocks.borrow_mut();
--- a/crates/limit/src/quota/holders.rs
+++ b/crates/limit/src/quota/holders.rs
@@ -6,6 +6,7 @@
 
 use foldhash::HashMap;
 use foldhash::quality::FixedState;
+use ggs_member::weighted_rank;
 use ggs_model::Moment;
 
 /// Seed of the hash that ranks gates; the same at all gates.
@@ -162,10 +163,8 @@
     let state = FixedState::with_seed(RANK_SEED);
     let ranked = gates.iter().map(|gate| {
         let hash = state.hash_one((name, gate.address));
-        // An exponentially distributed rank, so that larger hosts come first more often.
-        let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
         RankedGate {
-            rank: -uniform.ln() / f64::from(gate.capacity.max(1)),
+            rank: weighted_rank(hash, gate.capacity),
             address: gate.address,
         }
     });
--- a/crates/member/src/group.rs
+++ b/crates/member/src/group.rs
@@ -61,8 +61,14 @@
 
 /// Turns a hash into a weighted rank, lowest first: an exponentially distributed value whose rate
 /// is the capacity, so that each candidate ranks first with a probability in proportion to its
-/// capacity.
-fn weighted_rank(hash: u64, capacity: u32) -> f64 {
+/// capacity; 0 counts as 1.
+///
+/// ```
+/// use ggs_member::weighted_rank;
+///
+/// assert!(weighted_rank(1 << 60, 5) < weighted_rank(1 << 60, 1));
+/// ```
+pub fn weighted_rank(hash: u64, capacity: u32) -> f64 {
     let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
     -uniform.ln() / f64::from(capacity.max(1))
 }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -21,7 +21,7 @@
 mod roster;
 
 pub use entries::order_entries;
-pub use group::{GroupCandidate, choose_group};
+pub use group::{GroupCandidate, choose_group, weighted_rank};
 pub use leaving::{LeavingSet, MAX_NOTICES, NOTICE_REPEAT_TIME};
 pub use peers::{
     AdvertisedGates, GateRecord, GateState, HEARTBEAT_INTERVAL, HeartbeatOutcome, LEASE,
