Learn of configurations while the store is silent, also from other data centres

Change: the read ends when another gate announces a newer version; a gate whose reads fail asks gates of other data centres; only a tick that is 2 s late counts as a suspension, which is less than a standby waits for.

--- a/crates/access/src/credentials.rs
+++ b/crates/access/src/credentials.rs
@@ -4,9 +4,6 @@
 
 use crate::KeyDigest;
 
-/// Scheme of the credentials. Schemes are compared without regard to case.
-const KEY_SCHEME: &[u8] = b"token";
-
 /// Longest key in bytes. Longer ones are refused before they are hashed.
 const MAX_KEY_BYTES: usize = 4_096;
 
@@ -23,7 +20,8 @@
     Unknown,
 }
 
-/// Finds the key in the values of a request's header for credentials.
+/// Finds the key in the values of a request's header for credentials, each of which is a `scheme` and a key.
+/// Schemes are compared without regard to case.
 ///
 /// # Errors
 ///
@@ -32,11 +30,12 @@
 /// ```
 /// use ggs_access::{AccessRefusal, KeyDigest, find_key};
 ///
-/// assert_eq!(find_key([b"Token abc".as_slice()]), Ok(KeyDigest::of(b"abc")));
-/// assert_eq!(find_key([b"Basic abc".as_slice()]), Err(AccessRefusal::Malformed));
-/// assert_eq!(find_key([]), Err(AccessRefusal::Missing));
+/// assert_eq!(find_key("Token", [b"token abc".as_slice()]), Ok(KeyDigest::of(b"abc")));
+/// assert_eq!(find_key("Token", [b"Basic abc".as_slice()]), Err(AccessRefusal::Malformed));
+/// assert_eq!(find_key("Token", []), Err(AccessRefusal::Missing));
 /// ```
 pub fn find_key<'a>(
+    scheme: &str,
     values: impl IntoIterator<Item = &'a [u8]>,
 ) -> Result<KeyDigest, AccessRefusal> {
     let mut values = values.into_iter();
@@ -46,12 +45,12 @@
     }
     let value = value.trim_ascii();
     let space = value.iter().position(|byte| *byte == b' ');
-    let (scheme, key) = value.split_at(space.ok_or(AccessRefusal::Malformed)?);
+    let (own_scheme, key) = value.split_at(space.ok_or(AccessRefusal::Malformed)?);
     let key = key.trim_ascii();
     let is_key = !key.is_empty()
         && key.len() <= MAX_KEY_BYTES
         && key.iter().all(u8::is_ascii_graphic)
-        && scheme.eq_ignore_ascii_case(KEY_SCHEME);
+        && own_scheme.eq_ignore_ascii_case(scheme.as_bytes());
     if !is_key {
         return Err(AccessRefusal::Malformed);
     }
--- a/crates/edge/src/access/mod.rs
+++ b/crates/edge/src/access/mod.rs
@@ -39,7 +39,7 @@
         names: &WireHeaders,
     ) -> Result<Self, AccessRefusal> {
         let values = headers.get_all(&names.credentials);
-        let key = find_key(values.map(HeaderValue::as_bytes));
+        let key = find_key(names.key_scheme, values.map(HeaderValue::as_bytes));
         Self::of_key(routes, route, key)
     }
 
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -10,6 +10,7 @@
 //! dropped.
 
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -200,7 +201,12 @@
             continue;
         };
         let read = match kind {
-            ConfigRead::Immediate => read_at_once(&core).await,
+            ConfigRead::Immediate => {
+                let Some(read) = read_unless_newer(&core).await else {
+                    continue;
+                };
+                read
+            }
             ConfigRead::LongPoll(wait) => {
                 let Some(read) = long_poll(&core, wait).await else {
                     continue;
@@ -262,6 +268,25 @@
     core.config_feed.confirm(confirmed_at);
 }
 
+/// Reads the configurations that are new in the store. Returns `None` if another gate announces a newer
+/// one first: the store may leave the call unanswered.
+async fn read_unless_newer<W, S>(core: &EdgeCore<W, S>) -> Option<Result<OperatorPage, FleetError>>
+where
+    S: FleetStore,
+{
+    let mut read = pin!(read_at_once(core));
+    loop {
+        tokio::select! {
+            read = &mut read => return Some(read),
+            () = core.config_feed.wakeup.notified() => {
+                if core.config_feed.has_newer_peer() {
+                    return None;
+                }
+            }
+        }
+    }
+}
+
 /// Reads the configurations that are new in the store.
 async fn read_at_once<W, S>(core: &EdgeCore<W, S>) -> Result<OperatorPage, FleetError>
 where
--- a/crates/edge/src/datagrams.rs
+++ b/crates/edge/src/datagrams.rs
@@ -244,6 +244,9 @@
     /// Whether the sender wants an answer, to learn that the receiver is live.
     #[prost(bool, tag = "5")]
     pub(crate) asks_sign: bool,
+    /// Whether the sender wants to know which configuration is in force at the receiver.
+    #[prost(bool, tag = "6")]
+    pub(crate) asks_config: bool,
 }
 
 /// A question for a part of a quota.
--- a/crates/edge/src/feeds.rs
+++ b/crates/edge/src/feeds.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Whether a gate has a newer configuration in force, as far as is known.
+    pub(crate) fn has_newer_peer(&self) -> bool {
+        let peer = self.newer_peer.get();
+        peer.is_some_and(|peer| peer.version > self.version())
+    }
+
     /// Takes the gate that has a newer configuration in force; `None` if there is none.
     pub(crate) fn take_newer_peer(&self) -> Option<PeerConfig> {
         let peer = self.newer_peer.take()?;
--- a/crates/edge/src/ports.rs
+++ b/crates/edge/src/ports.rs
@@ -38,6 +38,8 @@
     pub instance: HeaderName,
     /// The key of a caller, with its scheme.
     pub credentials: HeaderName,
+    /// Scheme of the key in that header.
+    pub key_scheme: &'static str,
     /// Name of the caller's workspace, which gates tell servers.
     pub workspace: HeaderName,
 }
--- a/crates/edge/src/quota/exchange.rs
+++ b/crates/edge/src/quota/exchange.rs
@@ -13,7 +13,7 @@
 use ggs_access::Workspace;
 use ggs_limit::{HolderCandidate, LedgerView, QuotaAsk, QuotaBounds, QuotaGrant, QuotaRule};
 use ggs_member::PeerLiveness;
-use ggs_model::{Clock, Moment};
+use ggs_model::{Clock, DataCentre, Moment};
 use ggs_observe::LogEvent;
 use prost::Message;
 use rand::seq::IteratorRandom;
@@ -54,6 +54,10 @@
 /// Gates that a new holder makes itself known to.
 const ANNOUNCED_COUNT: usize = 3;
 
+/// Age of the last confirmation at which a gate whose reads of the store fail asks gates of other data
+/// centres for their configuration.
+const UNCONFIRMED_TIME: Duration = Duration::from_millis(600);
+
 /// Window of a quota if the settings do not state it.
 const DEFAULT_BOUNDS: QuotaBounds = QuotaBounds {
     window: Duration::from_secs(5),
@@ -156,7 +160,7 @@
         let own = self.settings().listen_gates;
         let mut others = candidates.to_vec();
         others.retain(|gate| gate.address != own);
-        let bytes = own_heartbeat(self).encode_to_vec();
+        let heartbeat = own_heartbeat(self);
         for _ in 0..ANNOUNCED_COUNT {
             let next = self
                 .quota
@@ -165,10 +169,7 @@
                 .choose(name, &others, self.clock.now());
             let Some(next) = next else { return };
             others.retain(|gate| gate.address != next);
-            if let Some(socket) = &*self.quota.socket.borrow() {
-                // A datagram that cannot be sent at once is treated like a lost one.
-                let _lost = socket.try_send_to(&bytes, next);
-            }
+            self.send_now(next, &heartbeat);
         }
     }
 
@@ -209,12 +210,34 @@
             reads_store: self.reads_store(),
             ..Datagram::default()
         };
+        self.send_now(address, &datagram);
+    }
+
+    /// Sends a datagram without waiting. One that cannot be sent at once is treated like a lost one.
+    fn send_now(&self, address: SocketAddr, datagram: &Datagram) {
         if let Some(socket) = &*self.quota.socket.borrow() {
-            // A datagram that cannot be sent at once is treated like a lost one.
             let _lost = socket.try_send_to(&datagram.encode_to_vec(), address);
         }
     }
 
+    /// Asks a gate of another data centre which configuration it has, if neither the store nor a gate of
+    /// the own data centre has confirmed that of this gate lately.
+    fn ask_far_config(&self, others: &[(DataCentre, Vec<SocketAddr>)]) {
+        let age = Duration::from_millis(self.config_age_ms());
+        if !self.server_feed.reads_failing.get() || age < UNCONFIRMED_TIME {
+            return;
+        }
+        for (_, peers) in others {
+            if let Some(gate) = peers.iter().choose(&mut rand::rng()) {
+                let body = QuotaBody {
+                    asks_config: true,
+                    ..QuotaBody::default()
+                };
+                self.send_quota(*gate, body);
+            }
+        }
+    }
+
     /// The live gates of the data centre, and the known ones.
     fn count_near_gates(&self) -> (usize, usize) {
         let gates = self.gates.borrow();
@@ -295,6 +318,9 @@
         if body.asks_sign {
             self.send_quota(sender, QuotaBody::default());
         }
+        if body.asks_config {
+            self.send_now(sender, &self.config_datagram());
+        }
         for ask in &body.asks {
             self.answer_ask(ask, sender);
         }
@@ -379,6 +405,7 @@
         }
         drop(reach);
         let stands_in = self.quota.ledger.borrow().is_blind(BLIND_TIME, now);
+        self.ask_far_config(&others);
         let mut asked = self.quota.holders.borrow_mut().due_retries(stands_in, now);
         if self.quota.ledger.borrow().is_used(USED_TIME, now) {
             let others = others.iter();
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::header::HOST;
+use actix_http::header::{HOST, HeaderValue, WWW_AUTHENTICATE};
 use actix_http::{ConnectionType, HttpMessage, Request, Response, StatusCode, Uri};
 use ggs_model::{Clock, Moment, RunVerdict};
 use ggs_place::{Placement, RoomGauge, ServerKey};
@@ -84,7 +84,12 @@
         }
         Err(failure) => {
             core.log_unread_request(&request, failure.answer);
-            failure.response()
+            let mut response = failure.response();
+            if response.status() == StatusCode::UNAUTHORIZED {
+                let scheme = HeaderValue::from_static(core.wire.headers().key_scheme);
+                response.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+            }
+            response
         }
     };
     if core.is_draining() {
--- a/crates/limit/src/quota/ledger.rs
+++ b/crates/limit/src/quota/ledger.rs
@@ -33,8 +33,8 @@
 const ACCOUNT_TTL: Duration = Duration::from_mins(1);
 
 /// Longest time between two ticks. After a longer one the process was suspended, and other gates have
-/// granted what it does not know of.
-const MAX_TICK_GAP: Duration = Duration::from_secs(1);
+/// granted what it does not know of. A standby grants little for longer than this.
+const MAX_TICK_GAP: Duration = Duration::from_secs(2);
 
 /// Questions that the holder wants for each request that it can grant while a quota is exceeded.
 const PAUSE_PER_ASKER: f64 = 2.0;
