--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -269,16 +269,18 @@
 }
 
 /// Reads the configurations that are new in the store. Returns `None` if another gate announces a newer
-/// one first: the store may leave the call unanswered.
+/// one first, as the store may leave the call unanswered; but not if the read was requested because the
+/// one of another gate cannot be fetched.
 async fn read_unless_newer<W, S>(core: &EdgeCore<W, S>) -> Option<Result<OperatorPage, FleetError>>
 where
     S: FleetStore,
 {
+    let is_requested = core.config_feed.read_requested.get();
     let mut read = pin!(read_at_once(core));
     loop {
         tokio::select! {
             read = &mut read => return Some(read),
-            () = core.config_feed.wakeup.notified() => {
+            () = core.config_feed.wakeup.notified(), if !is_requested => {
                 if core.config_feed.has_newer_peer() {
                     return None;
                 }
