--- a/crates/edge/src/core.rs
+++ b/crates/edge/src/core.rs
@@ -233,6 +233,7 @@
         let gates = self.fleet_size();
         let retries = FleetRetries::new(bounds.retry_ratio, bounds.retry_slack, gates);
         let service = ServiceState::new(name.clone(), retries);
+        self.metrics.add_service(name.as_str());
         let mut services = self.services.borrow_mut();
         services.insert(name.clone(), Rc::clone(&service));
         service
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -134,13 +134,25 @@
         let rests = Counter::default();
         let help = "Answers in which servers asked this gate for rest";
         registry.register("rests", help, rests.clone());
-        let charges = Family::default();
+        // Exported from the start, like the detours.
+        let charges: Family<ChargeLabels, Counter> = Family::default();
+        let labels = ChargeLabels {
+            workspace: OTHER_WORKSPACES.to_owned(),
+            outcome: "refused",
+        };
+        charges.get_or_create(&labels).inc_by(0);
         let help = "Requests with a quota by whether the quota allowed them";
         registry.register("quota_charges", help, charges.clone());
-        let quota_held = Family::default();
+        let quota_held: Family<WorkspaceLabels, Gauge> = Family::default();
+        let labels = WorkspaceLabels {
+            workspace: OTHER_WORKSPACES.to_owned(),
+        };
+        quota_held.get_or_create(&labels).set(0);
         let help = "Requests that this gate may send of a quota without asking its holder";
         registry.register("quota_held", help, quota_held.clone());
-        let unauthorized = Family::default();
+        let unauthorized: Family<CauseLabels, Counter> = Family::default();
+        let labels = CauseLabels { cause: "unknown" };
+        unauthorized.get_or_create(&labels).inc_by(0);
         let help = "Requests without a key that a workspace has";
         registry.register("unauthorized", help, unauthorized.clone());
         let detours: Family<OutcomeLabels, Counter> = Family::default();
@@ -313,6 +325,14 @@
         self.servers.set(servers as i64);
     }
 
+    /// Exports the counters of a service from its first request on.
+    pub(crate) fn add_service(&self, service: &str) {
+        let labels = ServiceLabels {
+            service: service.to_owned(),
+        };
+        self.yields.get_or_create(&labels).inc_by(0);
+    }
+
     /// Counts a decision in which a request gave way to more urgent ones.
     pub(crate) fn count_yield(&self, service: &str) {
         let labels = ServiceLabels {
