--- a/crates/limit/tests/quota_end.rs
+++ b/crates/limit/tests/quota_end.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use ggs_limit::{
-    HolderStanding, LedgerView, QuotaBounds, QuotaLedger, QuotaRule, QuotaStock, StockDecision,
+    HolderStanding, LedgerView, QuotaAsk, QuotaBounds, QuotaLedger, QuotaRule, QuotaStock,
+    StockDecision,
 };
 use ggs_model::Moment;
 
@@ -96,3 +97,62 @@
         assert_eq!(refused_after, 0, "{} a second", case.per_second);
     }
 }
+
+/// A pause between two ticks of a holder, and whether it keeps its account.
+struct PauseCase {
+    pause_ms: u64,
+    keeps_account: bool,
+}
+
+// Guards against a holder that forgets what it has granted when its host is only busy.
+#[test]
+fn a_late_tick_closes_no_account_and_a_suspension_closes_all() {
+    let cases = [
+        PauseCase {
+            pause_ms: 600,
+            keeps_account: true,
+        },
+        PauseCase {
+            pause_ms: 1_500,
+            keeps_account: true,
+        },
+        PauseCase {
+            pause_ms: 2_500,
+            keeps_account: false,
+        },
+    ];
+    for case in cases {
+        let mut ledger = QuotaLedger::new(Moment::ZERO);
+        let mut now = Moment::ZERO;
+        while now < Moment::from_millis(6_000) {
+            now = now + Duration::from_millis(500);
+            ledger.tick(now);
+        }
+        let rule = QuotaRule {
+            per_second: 0.01,
+            burst: 3.0,
+        };
+        let bounds = QuotaBounds {
+            slack: 0.0,
+            over: 0.0,
+            ..BOUNDS
+        };
+        let gate = ([10, 0, 0, 1], 1).into();
+        let view = LedgerView {
+            reach: 1.0,
+            standing: HolderStanding::Preferred,
+        };
+        let ask = QuotaAsk {
+            waiting: 1,
+            ..QuotaAsk::default()
+        };
+        let mut grant = |now| {
+            ledger
+                .grant("w", &rule, &bounds, gate, &ask, &view, now)
+                .granted
+        };
+        assert_eq!(grant(now), 1);
+        let granted = grant(now + Duration::from_millis(case.pause_ms));
+        assert_eq!(granted == 1, case.keeps_account, "{} ms", case.pause_ms);
+    }
+}
